--- /dev/null
+++ b/Source/Backends/Directory.cc
@@ -0,0 +1,127 @@
+#include "Backends/Directory.h"
+
+#include <algorithm>
+
+#include "Base/Hash.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr int kLeasesUntilForgotten = 6;
+
+bool MayTakeNewWork(const Rules& rules, const Backend& backend,
+                    const std::string& service) {
+  return backend.announcement.service() == service &&
+         backend.announcement.phase() == wire::READY &&
+         WeightOf(rules, service, backend.address) > 0;
+}
+
+}  // namespace
+
+std::string CheckAnnouncement(const wire::Announcement& announcement) {
+  constexpr std::uint32_t kMostSlots = 100000;
+  if (announcement.service().empty()) {
+    return "service: expected the name of a service";
+  }
+  if (!ParseEndpoint(announcement.address())) {
+    return "address: expected IP:port";
+  }
+  if (announcement.slots() == 0 || announcement.slots() > kMostSlots) {
+    return "slots: expected 1 to 100000";
+  }
+  if (announcement.sequence() == 0) {
+    return "sequence: expected a number that rises with each announcement";
+  }
+  return "";
+}
+
+bool TakeAnnouncement(Directory& directory, const wire::BackendRecord& record,
+                      TimePoint now) {
+  const wire::Announcement& announcement = record.announcement();
+  const Endpoint address = *ParseEndpoint(announcement.address());
+  const TimePoint announced_at = now - Milliseconds(record.age_ms());
+  const auto [position, added] = directory.backends.try_emplace(address);
+  Backend& backend = position->second;
+  if (!added && announcement.sequence() <= backend.announcement.sequence()) {
+    return false;
+  }
+  const wire::Announcement& before = backend.announcement;
+  const bool changed = added || before.service() != announcement.service() ||
+                       before.phase() != announcement.phase() ||
+                       before.slots() != announcement.slots();
+  const bool became_ready = announcement.phase() == wire::READY &&
+                            (added || before.phase() != wire::READY);
+  if (became_ready) {
+    backend.ready_since = announced_at;
+  }
+  backend.address = address;
+  backend.announcement = announcement;
+  backend.data_centre = record.data_centre();
+  backend.announced_at = std::max(backend.announced_at, announced_at);
+  backend.own_when_announced = backend.own_in_flight;
+  directory.generation += changed ? 1 : 0;
+  return true;
+}
+
+void ForgetSilent(Directory& directory, TimePoint now) {
+  const auto silent = [&](const auto& item) {
+    return item.second.own_in_flight == 0 &&
+           now - item.second.announced_at >
+               directory.lease * kLeasesUntilForgotten;
+  };
+  directory.generation += std::erase_if(directory.backends, silent) > 0 ? 1 : 0;
+}
+
+std::uint64_t DirectoryDigest(const Directory& directory) {
+  std::uint64_t digest = 0;
+  for (const auto& [address, backend] : directory.backends) {
+    const wire::Announcement& announcement = backend.announcement;
+    std::uint64_t hash = Hash64(announcement.service(),
+                                static_cast<std::uint64_t>(address.port));
+    hash = MixHash(hash, address.ip);
+    hash = MixHash(hash, announcement.phase());
+    hash = MixHash(hash, announcement.slots());
+    digest ^= hash;
+  }
+  return digest;
+}
+
+wire::Directory DirectoryMessage(const Directory& directory, TimePoint now) {
+  wire::Directory message;
+  for (const auto& [address, backend] : directory.backends) {
+    wire::BackendRecord& record = *message.add_records();
+    *record.mutable_announcement() = backend.announcement;
+    record.set_data_centre(backend.data_centre);
+    record.set_age_ms(static_cast<std::uint32_t>(
+        MillisecondsBetween(backend.announced_at, now)));
+  }
+  return message;
+}
+
+bool IsUsable(const Directory& directory, const Backend& backend,
+              const std::string& service, TimePoint now) {
+  const bool leased = now - backend.announced_at <= directory.lease;
+  const bool works = backend.last_success.time_since_epoch().count() != 0 &&
+                     now - backend.last_success <= directory.lease &&
+                     backend.last_success > backend.last_failure;
+  return backend.announcement.service() == service &&
+         backend.announcement.phase() == wire::READY && (leased || works);
+}
+
+std::vector<const Backend*> CandidatesFor(const Directory& directory,
+                                          const Rules& rules,
+                                          const std::string& service,
+                                          TimePoint now) {
+  std::vector<const Backend*> usable;
+  std::vector<const Backend*> lapsed;
+  for (const auto& [address, backend] : directory.backends) {
+    if (!MayTakeNewWork(rules, backend, service)) {
+      continue;
+    }
+    const bool good = IsUsable(directory, backend, service, now);
+    (good ? usable : lapsed).push_back(&backend);
+  }
+  return usable.empty() ? lapsed : usable;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Base/Event.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+/// Numbered log events. Each has its line in docs/EVENTS.md.
+namespace filbertwall {
+
+enum class EventId {
+  kStarted = 1001,
+  kServing = 1002,
+  kStopping = 1003,
+  kStopped = 1004,
+  kSettingsRejected = 1005,
+  kLeaderElected = 2001,
+  kLeadershipLost = 2002,
+  kVoterChanged = 2003,
+  kLogTailCut = 2004,
+  kLogCorrupt = 2005,
+  kSyncFailed = 2006,
+  kRulesInForce = 2010,
+  kSubmission = 2011,
+  kPeerAlive = 3001,
+  kPeerSilent = 3002,
+  kPeerRestarted = 3003,
+  kBackendChanged = 3010,
+  kAnnouncementRejected = 3011,
+  kOrderMemoryRepaired = 4001,
+  kMalformedInput = 5001,
+  kFlowsHandedOver = 5010,
+};
+
+enum class Severity { kInfo, kWarning, kError };
+
+struct LogRecord {
+  EventId id = EventId::kStarted;
+  Severity severity = Severity::kInfo;
+  std::string text;
+};
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Base/Text.cc
@@ -0,0 +1,80 @@
+#include "Base/Text.h"
+
+#include <strings.h>
+
+#include <charconv>
+
+namespace filbertwall {
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text,
+                                         std::uint64_t min, std::uint64_t max) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stopped != end || value < min || value > max) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text) {
+  constexpr std::uint64_t kLongestMs = 3600 * 1000;
+  std::uint64_t unit_ms = 0;
+  if (text.ends_with("ms")) {
+    unit_ms = 1;
+    text.remove_suffix(2);
+  } else if (text.ends_with("s")) {
+    unit_ms = 1000;
+    text.remove_suffix(1);
+  } else {
+    return std::nullopt;
+  }
+  const auto count = ParseNumber(text, 0, kLongestMs / unit_ms);
+  if (!count) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(*count * unit_ms);
+}
+
+std::vector<std::string> SplitWords(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r";
+  std::vector<std::string> words;
+  std::size_t start = text.find_first_not_of(kBlank);
+  while (start != std::string_view::npos) {
+    const std::size_t end =
+        std::min(text.find_first_of(kBlank, start), text.size());
+    words.emplace_back(text.substr(start, end - start));
+    start = text.find_first_not_of(kBlank, end);
+  }
+  return words;
+}
+
+std::vector<std::string> SplitAt(std::string_view text, char separator) {
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (true) {
+    const std::size_t end = text.find(separator, start);
+    if (end == std::string_view::npos) {
+      parts.emplace_back(text.substr(start));
+      return parts;
+    }
+    parts.emplace_back(text.substr(start, end - start));
+    start = end + 1;
+  }
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const std::size_t start = text.find_first_not_of(kBlank);
+  if (start == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(start, text.find_last_not_of(kBlank) - start + 1);
+}
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Commands/Commands.cc
@@ -0,0 +1,354 @@
+#include "Commands/Commands.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <optional>
+
+#include "Base/Text.h"
+#include "Rules/Explain.h"
+#include "Rules/RulesParser.h"
+#include "Settings/Settings.h"
+#include "Shell/ControlStore.h"
+#include "Shell/Keys.h"
+#include "Shell/Messenger.h"
+#include "Shell/Runtime.h"
+
+namespace filbertwall {
+namespace {
+
+using Arguments = std::vector<std::string>;
+using FileArgument = TCLAP::UnlabeledValueArg<std::string>;
+using TextOption = TCLAP::ValueArg<std::string>;
+
+constexpr Milliseconds kAskLimit{7000};
+
+std::optional<std::string> ReadInput(const std::string& path) {
+  const auto bytes = LoadFile(path);
+  if (!bytes) {
+    std::cerr << FormatFinding(
+                     {.file = path, .expected = "a file that can be read"})
+              << "\n";
+    return std::nullopt;
+  }
+  return bytes.value();
+}
+
+/// Settings and keys, or nothing after the findings were printed.
+struct Checked {
+  Settings settings;
+  KeyPair keys;
+};
+
+std::optional<Checked> LoadSettings(const std::string& path) {
+  const auto text = ReadInput(path);
+  if (!text) {
+    return std::nullopt;
+  }
+  ParsedSettings parsed = ParseSettings(*text, path);
+  Checked checked{.settings = parsed.settings};
+  const SecuritySettings& security = parsed.settings.security;
+  if (security.curve && !security.secret_key_file.empty()) {
+    checked.keys = ReadKeyFile(security.secret_key_file, parsed.findings);
+  }
+  if (!parsed.findings.empty()) {
+    std::cerr << FormatFindings(parsed.findings);
+    return std::nullopt;
+  }
+  return checked;
+}
+
+/// How an operator's command reaches an instance.
+struct Connection {
+  TextOption to{"",   "to", "An instance's control_address.",
+                true, "",   "IP:PORT"};
+  TextOption key_file{"",    "key", "Key file of the operator (keygen).",
+                      false, "",    "FILE"};
+  TextOption server_key{"",    "server-key", "Public key of the instance.",
+                        false, "",           "KEY"};
+
+  explicit Connection(TCLAP::CmdLine& line) {
+    line.add(this->to);
+    line.add(this->key_file);
+    line.add(this->server_key);
+  }
+
+  /// Empty when nothing answered, or the key file can't be used.
+  wire::Envelope Request(const wire::Envelope& request) {
+    KeyPair keys;
+    if (this->key_file.isSet()) {
+      std::vector<Finding> findings;
+      keys = ReadKeyFile(this->key_file.getValue(), findings);
+      if (!findings.empty()) {
+        std::cerr << FormatFindings(findings);
+        return {};
+      }
+    }
+    return Ask(this->to.getValue(), this->server_key.getValue(), keys, request,
+               kAskLimit);
+  }
+};
+
+int ReportUnreachable(const std::string& address) {
+  std::cerr << "unreachable: " << address << " did not answer\n";
+  return kExitUnreachable;
+}
+
+int RunRun(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("settings", "Settings file (INI).", true, "", "FILE", line);
+  line.parse(arguments);
+  const auto checked = LoadSettings(file.getValue());
+  if (!checked) {
+    return kExitFindings;
+  }
+  switch (RunInstance(checked->settings, checked->keys)) {
+    case RunError::kNone:
+      return kExitSuccess;
+    case RunError::kNetwork:
+      return kExitNetwork;
+    case RunError::kDisk:
+      return kExitDisk;
+  }
+  return kExitSuccess;
+}
+
+int RunFormat(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("settings", "Settings of the first control instance.", true,
+                    "", "FILE", line);
+  line.parse(arguments);
+  const auto checked = LoadSettings(file.getValue());
+  if (!checked) {
+    return kExitFindings;
+  }
+  const std::string error = FormatFolder(checked->settings);
+  if (!error.empty()) {
+    std::cerr << "error: " << error << "\n";
+    return kExitDisk;
+  }
+  std::cout << "formatted " << checked->settings.data_folder << "\n";
+  return kExitSuccess;
+}
+
+int RunCheckConfig(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("settings", "Settings file (INI).", true, "", "FILE", line);
+  line.parse(arguments);
+  if (!LoadSettings(file.getValue())) {
+    return kExitFindings;
+  }
+  std::cout << file.getValue() << ": no findings\n";
+  return kExitSuccess;
+}
+
+int RunCheck(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("rules", "Rules file.", true, "", "FILE", line);
+  line.parse(arguments);
+  const auto text = ReadInput(file.getValue());
+  if (!text) {
+    return kExitFindings;
+  }
+  const ParsedRules parsed = ParseRules(*text, file.getValue());
+  if (!parsed.findings.empty()) {
+    std::cerr << FormatFindings(parsed.findings);
+    return kExitFindings;
+  }
+  std::cout << file.getValue() << ": version " << parsed.rules.version
+            << ", no findings\n";
+  return kExitSuccess;
+}
+
+int RunExplain(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("rules", "Rules file.", true, "", "FILE", line);
+  TCLAP::UnlabeledMultiArg<std::string> words(
+      "subject", "HOST METHOD PATH of a request, or IP:PORT of a flow.", true,
+      "WORD", line);
+  line.parse(arguments);
+  const auto text = ReadInput(file.getValue());
+  if (!text) {
+    return kExitFindings;
+  }
+  const ParsedRules parsed = ParseRules(*text, file.getValue());
+  if (!parsed.findings.empty()) {
+    std::cerr << FormatFindings(parsed.findings);
+    return kExitFindings;
+  }
+  const Explanation explanation = Explain(parsed.rules, words.getValue());
+  (explanation.found ? std::cout : std::cerr) << explanation.text;
+  return explanation.found ? kExitSuccess : kExitFindings;
+}
+
+int PrintVerdict(const wire::SubmitReply& reply) {
+  switch (reply.verdict()) {
+    case wire::ACCEPTED:
+      std::cout << "accepted: " << reply.reason() << "\n";
+      return kExitSuccess;
+    case wire::REFUSED:
+      std::cerr << "refused: " << reply.reason() << "\n";
+      return kExitRefused;
+    default:
+      std::cerr << "unknown: " << reply.reason()
+                << " (resend the same file: it is safe)\n";
+      return kExitUnknown;
+  }
+}
+
+int RunSubmit(TCLAP::CmdLine& line, Arguments& arguments) {
+  Connection connection(line);
+  TextOption operator_name("", "as", "Name of the operator.", true, "", "NAME",
+                           line);
+  FileArgument file("rules", "Rules file.", true, "", "FILE", line);
+  line.parse(arguments);
+  const auto text = ReadInput(file.getValue());
+  if (!text) {
+    return kExitFindings;
+  }
+  const ParsedRules parsed = ParseRules(*text, file.getValue());
+  if (!parsed.findings.empty()) {
+    std::cerr << FormatFindings(parsed.findings);
+    return kExitFindings;
+  }
+  wire::Envelope request;
+  request.mutable_submit()->mutable_rules()->set_text(*text);
+  request.mutable_submit()->mutable_rules()->set_submitter(
+      operator_name.getValue());
+  const wire::Envelope reply = connection.Request(request);
+  if (!reply.has_submit_reply()) {
+    wire::SubmitReply unknown;
+    unknown.set_reason(connection.to.getValue() + " did not answer");
+    return PrintVerdict(unknown);
+  }
+  return PrintVerdict(reply.submit_reply());
+}
+
+int RunRemoveMember(TCLAP::CmdLine& line, Arguments& arguments) {
+  Connection connection(line);
+  TCLAP::UnlabeledValueArg<std::uint32_t> instance(
+      "instance", "Id of the control instance.", true, 0, "ID", line);
+  line.parse(arguments);
+  wire::Envelope request;
+  request.mutable_remove_member()->set_instance(instance.getValue());
+  const wire::Envelope reply = connection.Request(request);
+  if (!reply.has_submit_reply()) {
+    return ReportUnreachable(connection.to.getValue());
+  }
+  return PrintVerdict(reply.submit_reply());
+}
+
+int RunStatus(TCLAP::CmdLine& line, Arguments& arguments) {
+  Connection connection(line);
+  line.parse(arguments);
+  wire::Envelope request;
+  request.mutable_status();
+  const wire::Envelope reply = connection.Request(request);
+  if (!reply.has_status_reply()) {
+    return ReportUnreachable(connection.to.getValue());
+  }
+  constexpr std::int64_t kSilentMs = 2000;
+  for (const wire::InstanceStatus& item : reply.status_reply().instances()) {
+    const bool heard =
+        item.heard_ms_ago() >= 0 && item.heard_ms_ago() <= kSilentMs;
+    std::cout << "instance " << item.instance() << " version "
+              << item.rules_version() << (heard ? " heard" : " not-heard")
+              << (item.leader() ? " leader" : "") << "\n";
+  }
+  return kExitSuccess;
+}
+
+int RunDump(TCLAP::CmdLine& line, Arguments& arguments) {
+  Connection connection(line);
+  line.parse(arguments);
+  wire::Envelope request;
+  request.mutable_dump();
+  const wire::Envelope reply = connection.Request(request);
+  if (!reply.has_dump_reply()) {
+    return ReportUnreachable(connection.to.getValue());
+  }
+  google::protobuf::util::JsonPrintOptions options;
+  options.add_whitespace = true;
+  options.always_print_primitive_fields = true;
+  options.preserve_proto_field_names = true;
+  std::string json;
+  const auto printed = google::protobuf::util::MessageToJsonString(
+      reply.dump_reply().dump(), &json, options);
+  std::cout << (printed.ok() ? json : printed.ToString()) << "\n";
+  return kExitSuccess;
+}
+
+int RunKeygen(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("file", "Key file to make.", true, "", "FILE", line);
+  line.parse(arguments);
+  const KeyPair keys = MakeKeyPair();
+  if (keys.public_key.empty() || !WriteKeyFile(file.getValue(), keys)) {
+    std::cerr << FormatFinding({.file = file.getValue(),
+                                .expected = "a new file in a folder that can "
+                                            "be written"})
+              << "\n";
+    return kExitDisk;
+  }
+  std::cout << keys.public_key << "\n";
+  return kExitSuccess;
+}
+
+struct Command {
+  std::string summary;
+  int (*run)(TCLAP::CmdLine&, Arguments&);
+};
+
+const std::map<std::string, Command>& AllCommands() {
+  static const std::map<std::string, Command> kCommands = {
+      {"run", {"Run an instance.", RunRun}},
+      {"format", {"Prepare the first control instance's disk.", RunFormat}},
+      {"check", {"Report every finding in a rules file.", RunCheck}},
+      {"check-config", {"Report every finding in settings.", RunCheckConfig}},
+      {"explain", {"Say which rules apply, and whose.", RunExplain}},
+      {"submit", {"Hand over a rules file.", RunSubmit}},
+      {"status", {"Show which instances have which version.", RunStatus}},
+      {"dump", {"Print the state of a process as JSON.", RunDump}},
+      {"remove-member", {"Remove a control instance.", RunRemoveMember}},
+      {"keygen", {"Make a key file.", RunKeygen}},
+  };
+  return kCommands;
+}
+
+int PrintUsage(std::ostream& out, int code) {
+  out << "usage: filbertwall COMMAND [ARGUMENTS]\n\ncommands:\n";
+  for (const auto& [name, command] : AllCommands()) {
+    out << "  " << name << std::string(15 - name.size(), ' ') << command.summary
+        << "\n";
+  }
+  out << "\nfilbertwall COMMAND --help tells more.\n";
+  return code;
+}
+
+}  // namespace
+
+int RunCommand(const std::string& program, const Arguments& arguments) {
+  if (arguments.empty()) {
+    return PrintUsage(std::cerr, kExitUsage);
+  }
+  if (arguments[0] == "help" || arguments[0] == "--help") {
+    return PrintUsage(std::cout, kExitSuccess);
+  }
+  const auto command = AllCommands().find(arguments[0]);
+  if (command == AllCommands().end()) {
+    std::cerr << "error: \"" << arguments[0] << "\": expected a command\n";
+    return PrintUsage(std::cerr, kExitUsage);
+  }
+  TCLAP::CmdLine line(command->second.summary, ' ', "0.1", true);
+  line.setExceptionHandling(false);
+  Arguments rest = arguments;
+  rest[0] = program + " " + arguments[0];
+  try {
+    return command->second.run(line, rest);
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "error: " << error.argId() << ": " << error.error() << "\n";
+    return kExitUsage;
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Control/ReplicaElection.cc
@@ -0,0 +1,161 @@
+#include <algorithm>
+
+#include "Control/Ballot.h"
+#include "Control/ReplicaTurn.h"
+
+/// Elections: how a replica becomes the leader, and what it promises others.
+namespace filbertwall {
+namespace {
+
+/// The undecided entry of the highest ballot among the promises, if any.
+std::optional<wire::Entry> HighestTip(const Replica& replica) {
+  std::optional<wire::Entry> highest = replica.tip;
+  for (const auto& [instance, promise] : replica.promises) {
+    const bool next =
+        promise.has_tip() && promise.tip().seq() == replica.committed.seq() + 1;
+    if (!next) {
+      continue;
+    }
+    if (!highest ||
+        CompareBallots(promise.tip().ballot(), highest->ballot()) > 0) {
+      highest = promise.tip();
+    }
+  }
+  return highest;
+}
+
+void BecomeLeader(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  replica.role = ReplicaRole::kLeader;
+  replica.leader = replica.config.self;
+  replica.elected_at = turn.now;
+  replica.acked.clear();
+  const std::optional<wire::Entry> undecided = HighestTip(replica);
+  replica.promises.clear();
+  SendHeartbeats(turn);
+  if (undecided) {
+    // It may already be accepted by a majority; nothing else can take its seq.
+    Propose(turn, PendingChange{.change = undecided->change()});
+    return;
+  }
+  ProposeNext(turn);
+}
+
+void BecomeLeaderOnMajority(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  std::set<std::uint32_t> granted = {replica.config.self};
+  for (const auto& [instance, promise] : replica.promises) {
+    granted.insert(instance);
+  }
+  if (IsMajority(replica.committed, granted)) {
+    BecomeLeader(turn);
+  }
+}
+
+/// Whether a promise may be given; a refusal that names a higher ballot is
+/// answered, one for the sake of another's lease is not.
+bool MayPromise(const Replica& replica, TimePoint now, std::uint32_t from) {
+  const bool lease_of_another =
+      now < replica.lease_granted_until && replica.leader != from;
+  const bool own_lease =
+      replica.role == ReplicaRole::kLeader && HasLease(replica, now);
+  return !lease_of_another && !own_lease;
+}
+
+}  // namespace
+
+void StartElection(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  const bool ballot_still_highest =
+      replica.role == ReplicaRole::kCandidate &&
+      replica.ballot.round() >= replica.highest_round_seen &&
+      CompareBallots(replica.ballot, replica.promised) == 0;
+  if (!ballot_still_highest) {
+    // A candidate that nobody hears keeps its ballot, so that a long cut does
+    // not raise the round without end.
+    replica.highest_round_seen =
+        std::max(replica.highest_round_seen, replica.promised.round()) + 1;
+    replica.ballot.set_round(replica.highest_round_seen);
+    replica.ballot.set_instance(replica.config.self);
+    PersistPromise(turn, replica.ballot);
+  }
+  replica.role = ReplicaRole::kCandidate;
+  replica.leader = 0;
+  replica.proposing = false;
+  replica.promises.clear();
+  const Milliseconds retry =
+      replica.config.heartbeat_interval * (2 + replica.config.self % 5);
+  replica.election_at = turn.now + retry;
+  wire::ControlMessage message;
+  wire::Prepare& prepare = *message.mutable_prepare();
+  *prepare.mutable_ballot() = replica.ballot;
+  prepare.set_committed_seq(replica.committed.seq());
+  SendToVoters(turn, message);
+  BecomeLeaderOnMajority(turn);
+}
+
+void HandlePrepare(ReplicaTurn& turn, std::uint32_t from,
+                   const wire::Prepare& prepare, bool from_voter) {
+  Replica& replica = turn.replica;
+  const bool knows_better = prepare.committed_seq() > replica.committed.seq();
+  if (!IsVoter(replica) || (!from_voter && !knows_better) ||
+      !MayPromise(replica, turn.now, from)) {
+    return;
+  }
+  wire::ControlMessage message;
+  wire::Promise& promise = *message.mutable_promise();
+  *promise.mutable_ballot() = prepare.ballot();
+  const int order = CompareBallots(prepare.ballot(), replica.promised);
+  if (order < 0) {
+    *promise.mutable_promised() = replica.promised;
+    Send(turn, from, std::move(message));
+    return;
+  }
+  if (order > 0) {
+    if (replica.role != ReplicaRole::kFollower) {
+      StepDown(turn);
+    }
+    PersistPromise(turn, prepare.ballot());
+  }
+  // The candidate gets time to win before this replica competes with it.
+  replica.election_at =
+      std::max(replica.election_at, turn.now + replica.config.lease / 2);
+  promise.set_granted(true);
+  if (replica.tip) {
+    *promise.mutable_tip() = *replica.tip;
+  }
+  if (prepare.committed_seq() < replica.committed.seq()) {
+    *promise.mutable_state() = replica.committed;
+  }
+  Send(turn, from, std::move(message));
+}
+
+void HandlePromise(ReplicaTurn& turn, std::uint32_t from,
+                   const wire::Promise& promise) {
+  Replica& replica = turn.replica;
+  replica.highest_round_seen =
+      std::max(replica.highest_round_seen, promise.promised().round());
+  const bool current = replica.role == ReplicaRole::kCandidate &&
+                       CompareBallots(promise.ballot(), replica.ballot) == 0;
+  if (!current) {
+    return;
+  }
+  if (!promise.granted()) {
+    return;  // The next attempt takes a higher round.
+  }
+  if (promise.state().seq() > replica.committed.seq()) {
+    // The voters may have changed, so the promises so far count for nothing.
+    AdoptState(turn, promise.state());
+    if (IsVoter(replica)) {
+      replica.highest_round_seen += 1;
+      StartElection(turn);
+    } else {
+      StepDown(turn);
+    }
+    return;
+  }
+  replica.promises[from] = promise;
+  BecomeLeaderOnMajority(turn);
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Control/ReplicaProposal.cc
@@ -0,0 +1,295 @@
+#include <algorithm>
+
+#include "Control/Ballot.h"
+#include "Control/ReplicaTurn.h"
+
+/// Proposals: from a submitted change to one that a majority has stored.
+namespace filbertwall {
+namespace {
+
+void CommitOnMajority(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  if (!replica.proposing || !IsMajority(replica.committed, replica.accepted)) {
+    return;
+  }
+  const bool member_change = replica.tip->change().has_member();
+  const std::uint32_t changed = replica.tip->change().member().instance();
+  const std::uint64_t token = replica.proposal_token;
+  replica.proposing = false;
+  replica.proposal_token = 0;
+  CommitTip(turn);
+  if (token != 0) {
+    turn.effects.emplace_back(ControlVerdict{
+        .token = token,
+        .verdict = wire::ACCEPTED,
+        .reason = "stored by a majority of the control instances"});
+  }
+  if (!member_change) {
+    SendHeartbeats(turn);
+    ProposeNext(turn);
+    return;
+  }
+  // Every voter must know the new set before its promises are asked for.
+  SendHeartbeats(turn);
+  SendInstall(turn, changed);
+  if (IsVoter(replica)) {
+    StartElection(turn);
+  } else {
+    StepDown(turn);
+  }
+}
+
+void SendAccept(ReplicaTurn& turn, std::uint32_t to) {
+  wire::ControlMessage message;
+  *message.mutable_accept()->mutable_ballot() = turn.replica.ballot;
+  *message.mutable_accept()->mutable_entry() = *turn.replica.tip;
+  Send(turn, to, std::move(message));
+}
+
+/// Takes part in `ballot`'s leadership; false when a higher one is promised.
+bool Obey(ReplicaTurn& turn, std::uint32_t from, const wire::Ballot& ballot) {
+  Replica& replica = turn.replica;
+  const int order = CompareBallots(ballot, replica.promised);
+  if (order < 0) {
+    return false;
+  }
+  if (order > 0) {
+    PersistPromise(turn, ballot);
+  }
+  replica.highest_round_seen =
+      std::max(replica.highest_round_seen, ballot.round());
+  FollowLeader(turn, from);
+  return true;
+}
+
+void SendAccepted(ReplicaTurn& turn, std::uint32_t to,
+                  const wire::Accept& accept, bool stored) {
+  wire::ControlMessage message;
+  wire::Accepted& accepted = *message.mutable_accepted();
+  *accepted.mutable_ballot() = stored ? accept.ballot() : turn.replica.promised;
+  accepted.set_seq(accept.entry().seq());
+  accepted.set_stored(stored);
+  accepted.set_committed_seq(turn.replica.committed.seq());
+  Send(turn, to, std::move(message));
+}
+
+/// A voter that promised a higher ballot can't follow; leads anew above it.
+bool LeadAboveHigherBallot(ReplicaTurn& turn, const wire::Ballot& ballot) {
+  Replica& replica = turn.replica;
+  if (CompareBallots(ballot, replica.ballot) <= 0) {
+    return false;
+  }
+  replica.highest_round_seen =
+      std::max(replica.highest_round_seen, ballot.round());
+  StepDown(turn);
+  StartElection(turn);
+  return true;
+}
+
+}  // namespace
+
+void Propose(ReplicaTurn& turn, const PendingChange& pending) {
+  Replica& replica = turn.replica;
+  wire::Entry entry;
+  entry.set_seq(replica.committed.seq() + 1);
+  *entry.mutable_ballot() = replica.ballot;
+  *entry.mutable_change() = pending.change;
+  replica.tip = entry;
+  replica.proposing = true;
+  if (pending.token != 0) {
+    replica.proposal_token = pending.token;
+  }
+  PersistTip(turn);
+  replica.accepted = {replica.config.self};
+  for (const wire::Member& member : replica.committed.members()) {
+    if (member.instance() != replica.config.self) {
+      SendAccept(turn, member.instance());
+    }
+  }
+  CommitOnMajority(turn);
+}
+
+void ProposeNext(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  while (replica.role == ReplicaRole::kLeader && !replica.proposing &&
+         !replica.queue.empty()) {
+    const PendingChange pending = replica.queue.front();
+    replica.queue.pop_front();
+    HandleSubmitted(turn, ControlSubmitted{.token = pending.token,
+                                           .change = pending.change});
+  }
+}
+
+void HandleSubmitted(ReplicaTurn& turn, const ControlSubmitted& event) {
+  Replica& replica = turn.replica;
+  const auto answer = [&](wire::Verdict verdict, const std::string& reason) {
+    turn.effects.emplace_back(ControlVerdict{
+        .token = event.token, .verdict = verdict, .reason = reason});
+  };
+  if (event.change.has_rules()) {
+    const Ruling ruling = RuleOn(replica.committed, event.change.rules());
+    switch (ruling.kind) {
+      case Ruling::Kind::kAccepted:
+        answer(wire::ACCEPTED, ruling.reason);
+        return;
+      case Ruling::Kind::kRefused:
+        answer(wire::REFUSED, ruling.reason);
+        return;
+      case Ruling::Kind::kForgotten:
+        answer(wire::UNKNOWN, ruling.reason);
+        return;
+      case Ruling::Kind::kOpen:
+        break;
+    }
+  }
+  if (replica.role != ReplicaRole::kLeader) {
+    answer(wire::UNKNOWN,
+           "this instance is not the leader and does not reach one");
+    return;
+  }
+  const PendingChange pending{.token = event.token, .change = event.change};
+  if (replica.proposing) {
+    constexpr std::size_t kLongestQueue = 64;
+    if (replica.queue.size() >= kLongestQueue) {
+      answer(wire::UNKNOWN, "too many changes wait for their turn");
+      return;
+    }
+    replica.queue.push_back(pending);
+    return;
+  }
+  Propose(turn, pending);
+}
+
+void HandleAccept(ReplicaTurn& turn, std::uint32_t from,
+                  const wire::Accept& accept) {
+  Replica& replica = turn.replica;
+  if (!IsVoter(replica) || !Obey(turn, from, accept.ballot())) {
+    SendAccepted(turn, from, accept, false);
+    return;
+  }
+  const std::uint64_t seq = accept.entry().seq();
+  const bool follows_tip =
+      replica.tip && replica.tip->seq() + 1 == seq &&
+      CompareBallots(replica.tip->ballot(), accept.ballot()) == 0;
+  if (follows_tip) {
+    // The leader proposes one entry at a time, so the tip is committed.
+    CommitTip(turn);
+  }
+  if (seq == replica.committed.seq() + 1) {
+    replica.tip = accept.entry();
+    PersistTip(turn);
+    SendAccepted(turn, from, accept, true);
+    return;
+  }
+  SendAccepted(turn, from, accept, seq <= replica.committed.seq());
+}
+
+void HandleAccepted(ReplicaTurn& turn, std::uint32_t from,
+                    const wire::Accepted& accepted) {
+  Replica& replica = turn.replica;
+  if (replica.role != ReplicaRole::kLeader ||
+      LeadAboveHigherBallot(turn, accepted.ballot())) {
+    return;
+  }
+  const bool current =
+      replica.proposing && accepted.seq() == replica.tip->seq();
+  if (!current) {
+    return;
+  }
+  if (accepted.stored()) {
+    if (CompareBallots(accepted.ballot(), replica.ballot) == 0) {
+      replica.accepted.insert(from);
+      CommitOnMajority(turn);
+    }
+    return;
+  }
+  if (accepted.committed_seq() < replica.committed.seq()) {
+    SendInstall(turn, from);
+    SendAccept(turn, from);
+  }
+}
+
+void HandleHeartbeat(ReplicaTurn& turn, std::uint32_t from,
+                     const wire::Heartbeat& heartbeat) {
+  Replica& replica = turn.replica;
+  wire::ControlMessage message;
+  wire::HeartbeatAck& ack = *message.mutable_heartbeat_ack();
+  if (!Obey(turn, from, heartbeat.ballot())) {
+    *ack.mutable_ballot() = replica.promised;
+    Send(turn, from, std::move(message));
+    return;
+  }
+  const bool tip_committed =
+      replica.tip && replica.tip->seq() == heartbeat.committed_seq() &&
+      CompareBallots(replica.tip->ballot(), heartbeat.ballot()) == 0;
+  if (tip_committed) {
+    CommitTip(turn);
+  }
+  *ack.mutable_ballot() = heartbeat.ballot();
+  ack.set_committed_seq(replica.committed.seq());
+  ack.set_echoed_us(heartbeat.sent_us());
+  Send(turn, from, std::move(message));
+}
+
+void HandleHeartbeatAck(ReplicaTurn& turn, std::uint32_t from,
+                        const wire::HeartbeatAck& ack) {
+  Replica& replica = turn.replica;
+  if (replica.role != ReplicaRole::kLeader ||
+      LeadAboveHigherBallot(turn, ack.ballot()) ||
+      CompareBallots(ack.ballot(), replica.ballot) != 0) {
+    return;
+  }
+  const TimePoint sent{Microseconds(ack.echoed_us())};
+  TimePoint& latest = replica.acked[from];
+  latest = std::max(latest, std::min(sent, turn.now));
+  if (ack.committed_seq() < replica.committed.seq()) {
+    SendInstall(turn, from);
+  }
+  const bool accept_missing =
+      replica.proposing && !replica.accepted.contains(from);
+  if (accept_missing) {
+    SendAccept(turn, from);
+  }
+}
+
+void HandleInstall(ReplicaTurn& turn, std::uint32_t from,
+                   const wire::Install& install) {
+  Replica& replica = turn.replica;
+  if (!Obey(turn, from, install.ballot())) {
+    return;
+  }
+  if (install.state().seq() > replica.committed.seq() ||
+      replica.committed.cluster() == 0) {
+    AdoptState(turn, install.state());
+  }
+}
+
+void HandleJoin(ReplicaTurn& turn, const JoinRequest& request) {
+  Replica& replica = turn.replica;
+  const bool allowed =
+      replica.config.control_instances.contains(request.instance) &&
+      !WasRemoved(replica.committed, request.instance, request.incarnation);
+  if (replica.role == ReplicaRole::kFollower || !allowed ||
+      request.incarnation == 0) {
+    return;
+  }
+  const bool already =
+      IsVoter(replica.committed, request.instance, request.incarnation);
+  const bool caught_up =
+      request.has_state && request.committed_seq >= replica.committed.seq();
+  if (already || !caught_up) {
+    // Also as a candidate: a voter that does not know that it is one can't
+    // promise anything.
+    SendInstall(turn, request.instance);
+    return;
+  }
+  if (!replica.proposing && HasLease(replica, turn.now)) {
+    PendingChange pending;
+    wire::MemberChange& change = *pending.change.mutable_member();
+    change.set_instance(request.instance);
+    change.set_incarnation(request.incarnation);
+    Propose(turn, pending);
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Node/Node.cc
@@ -0,0 +1,387 @@
+#include "Node/Node.h"
+
+#include <algorithm>
+
+#include "Node/NodeTurn.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kHousekeepingInterval{1000};
+
+void HandleStarted(NodeTurn& turn) {
+  Node& node = turn.node;
+  node.started_at = turn.now;
+  node.orders.started_at = turn.now;
+  Log(turn, EventId::kStarted,
+      "instance " + std::to_string(node.settings.id) + " in " +
+          node.settings.data_centre + ", rules version " +
+          std::to_string(node.rules_file.version()));
+  if (node.has_replica) {
+    RunReplica(turn, ControlStarted{});
+  }
+}
+
+void EndStop(NodeTurn& turn) {
+  const Node& node = turn.node;
+  const bool idle = node.requests.open.empty();
+  if (node.stopping && (idle || turn.now >= node.stop_at)) {
+    Log(turn, EventId::kStopped,
+        std::to_string(node.requests.open.size()) + " requests cut");
+    turn.effects.emplace_back(Stopped{});
+  }
+}
+
+void HandleTick(NodeTurn& turn) {
+  Node& node = turn.node;
+  if (node.has_replica) {
+    RunReplica(turn, ControlTick{});
+  }
+  WatchPeers(turn);
+  SendHellos(turn);
+  ConfirmRules(turn);
+  PullRecords(turn);
+  ExpireSubmitters(turn);
+  RunRequests(turn, RequestTick{});
+  if (turn.now >= node.housekeeping_at) {
+    node.housekeeping_at = turn.now + kHousekeepingInterval;
+    ForgetSilent(node.directory, turn.now);
+    ExpireOrders(node.orders, turn.now);
+  }
+  EndStop(turn);
+}
+
+void HandlePeerMessage(NodeTurn& turn, const wire::Envelope& envelope) {
+  Node& node = turn.node;
+  const std::uint32_t from = envelope.from();
+  if (!node.peers.contains(from)) {
+    node.counters["messages_of_strangers"] += 1;
+    return;
+  }
+  switch (envelope.kind_case()) {
+    case wire::Envelope::kControl:
+      if (node.has_replica) {
+        RunReplica(
+            turn, ControlReceived{.from = from, .message = envelope.control()});
+      }
+      return;
+    case wire::Envelope::kHello:
+      HandleHello(turn, from, envelope.hello());
+      return;
+    case wire::Envelope::kRulesPush:
+      TakeRules(turn, envelope.rules_push().rules());
+      return;
+    case wire::Envelope::kDirectory:
+      HandleDirectory(turn, envelope.directory());
+      return;
+    case wire::Envelope::kClaim:
+      HandleClaim(turn, from, envelope.claim());
+      return;
+    case wire::Envelope::kClaimReply:
+      RunRequests(turn,
+                  ClaimAnswered{.from = from, .reply = envelope.claim_reply()});
+      return;
+    case wire::Envelope::kOutcome:
+      HandleOutcome(turn, envelope.outcome());
+      return;
+    case wire::Envelope::kRecordsPull:
+      HandleRecordsPull(turn, from, envelope.records_pull());
+      return;
+    case wire::Envelope::kRecordsPage:
+      HandleRecordsPage(turn, from, envelope.records_page());
+      return;
+    case wire::Envelope::kSubmit:
+      HandleSubmit(
+          turn, Submitter{.peer = from, .request = envelope.submit().request()},
+          envelope.submit());
+      return;
+    case wire::Envelope::kSubmitReply:
+      HandleSubmitReply(turn, envelope.submit_reply());
+      return;
+    default:
+      node.counters["messages_unknown"] += 1;
+      return;
+  }
+}
+
+void HandleStopRequested(NodeTurn& turn) {
+  Node& node = turn.node;
+  if (node.stopping) {
+    return;
+  }
+  node.stopping = true;
+  node.requests.stopping = true;
+  node.stop_at = turn.now + node.settings.drain_limit;
+  Log(turn, EventId::kStopping,
+      std::to_string(node.requests.open.size()) + " requests in flight");
+  node.hello_at = turn.now;
+  SendHellos(turn);
+}
+
+struct EventVisitor {
+  NodeTurn& turn;
+  void operator()(const NodeStarted&) { HandleStarted(this->turn); }
+  void operator()(const NodeTick&) { HandleTick(this->turn); }
+  void operator()(const MessageArrived& event) {
+    if (event.client.empty()) {
+      HandlePeerMessage(this->turn, event.envelope);
+    } else {
+      HandleOperator(this->turn, event);
+    }
+  }
+  void operator()(const AnnouncementArrived& event) {
+    HandleAnnouncement(this->turn, event);
+  }
+  void operator()(const HealthAsked& event) {
+    const Node& node = this->turn.node;
+    const bool ready = node.serving && !node.stopping;
+    this->turn.effects.emplace_back(AnswerLocal{
+        .id = event.id,
+        .status = ready ? 200 : 503,
+        .json = ready ? "{\"serving\":true}" : "{\"serving\":false}"});
+  }
+  void operator()(const StopRequested&) { HandleStopRequested(this->turn); }
+  void operator()(const RequestArrived& event) {
+    if (this->turn.node.serving) {
+      RunRequests(this->turn, event);
+      return;
+    }
+    wire::Answer answer;
+    answer.set_status(503);
+    answer.set_body("not-run: this instance has no confirmed rules yet\n");
+    wire::HeaderField& field = *answer.add_headers();
+    field.set_name(std::string(kOutcomeHeader));
+    field.set_value("not-run");
+    this->turn.effects.emplace_back(
+        AnswerCaller{.id = event.id, .answer = answer});
+  }
+  void operator()(const CallerLeft& event) { RunRequests(this->turn, event); }
+  void operator()(const AttemptEnded& event) { RunRequests(this->turn, event); }
+};
+
+struct ReplicaVisitor {
+  NodeTurn& turn;
+  void operator()(const ControlSend& effect) {
+    wire::Envelope envelope;
+    *envelope.mutable_control() = effect.message;
+    SendPeer(this->turn, effect.to, std::move(envelope));
+  }
+  void operator()(const ControlPersist& effect) {
+    this->turn.effects.emplace_back(PersistControl{.record = effect.record});
+  }
+  void operator()(const ControlAdvanced&) {
+    TakeRules(this->turn, this->turn.node.replica.committed.rules());
+  }
+  void operator()(const ControlVerdict& effect) {
+    AnswerSubmitter(this->turn, effect.token, effect.verdict, effect.reason);
+  }
+};
+
+struct RequestVisitor {
+  NodeTurn& turn;
+  std::vector<ClaimAnswered>& own_replies;
+  void operator()(const StartAttempt& effect) {
+    this->turn.effects.emplace_back(effect);
+  }
+  void operator()(const CancelAttempt& effect) {
+    this->turn.effects.emplace_back(effect);
+  }
+  void operator()(const AnswerCaller& effect) {
+    this->turn.effects.emplace_back(effect);
+  }
+  void operator()(const SendClaim& effect) {
+    Node& node = this->turn.node;
+    if (effect.to == node.settings.id) {
+      this->own_replies.push_back(ClaimAnswered{
+          .from = effect.to,
+          .reply = TakeClaim(node.orders, effect.claim, this->turn.now)});
+      return;
+    }
+    wire::Envelope envelope;
+    *envelope.mutable_claim() = effect.claim;
+    SendPeer(this->turn, effect.to, std::move(envelope));
+  }
+  void operator()(const SendOutcome& effect) {
+    if (effect.to == this->turn.node.settings.id) {
+      HandleOutcome(this->turn, effect.outcome);
+      return;
+    }
+    wire::Envelope envelope;
+    *envelope.mutable_outcome() = effect.outcome;
+    SendPeer(this->turn, effect.to, std::move(envelope));
+  }
+};
+
+std::string DescribeRole(const Node& node) {
+  if (!node.has_replica) {
+    return "none";
+  }
+  if (!IsVoter(node.replica)) {
+    return "learner";
+  }
+  switch (node.replica.role) {
+    case ReplicaRole::kFollower:
+      return "follower";
+    case ReplicaRole::kCandidate:
+      return "candidate";
+    case ReplicaRole::kLeader:
+      return "leader";
+  }
+  return "";
+}
+
+void LogLeadership(NodeTurn& turn, ReplicaRole before) {
+  const ReplicaRole after = turn.node.replica.role;
+  if (before == after) {
+    return;
+  }
+  if (after == ReplicaRole::kLeader) {
+    Log(turn, EventId::kLeaderElected,
+        "round " + std::to_string(turn.node.replica.ballot.round()));
+  } else if (before == ReplicaRole::kLeader) {
+    Log(turn, EventId::kLeadershipLost,
+        "round " + std::to_string(turn.node.replica.ballot.round()),
+        Severity::kWarning);
+  }
+}
+
+}  // namespace
+
+void Log(NodeTurn& turn, EventId id, const std::string& text,
+         Severity severity) {
+  turn.effects.emplace_back(
+      LogRecord{.id = id, .severity = severity, .text = text});
+}
+
+void SendPeer(NodeTurn& turn, std::uint32_t to, wire::Envelope envelope) {
+  envelope.set_from(turn.node.settings.id);
+  turn.effects.emplace_back(
+      SendToPeer{.to = to, .envelope = std::move(envelope)});
+}
+
+void SendToEntryPeers(NodeTurn& turn, const wire::Envelope& envelope) {
+  for (const auto& [id, peer] : turn.node.peers) {
+    if (peer.settings.roles.entry) {
+      SendPeer(turn, id, envelope);
+    }
+  }
+}
+
+void RunReplica(NodeTurn& turn, const ControlEvent& event) {
+  const ReplicaRole before = turn.node.replica.role;
+  for (const ControlEffect& effect :
+       Reduce(turn.node.replica, event, turn.now)) {
+    std::visit(ReplicaVisitor{.turn = turn}, effect);
+  }
+  LogLeadership(turn, before);
+}
+
+void RunRequests(NodeTurn& turn, const RequestEvent& event) {
+  Node& node = turn.node;
+  std::vector<ClaimAnswered> own_replies;
+  const RequestContext context{.rules = node.rules,
+                               .directory = node.directory,
+                               .silent = node.silent,
+                               .now = turn.now};
+  for (const RequestEffect& effect : Reduce(node.requests, event, context)) {
+    std::visit(RequestVisitor{.turn = turn, .own_replies = own_replies},
+               effect);
+  }
+  for (const ClaimAnswered& reply : own_replies) {
+    RunRequests(turn, reply);
+  }
+}
+
+Node MakeNode(const NodeParts& parts) {
+  Node node{.settings = parts.settings, .incarnation = parts.incarnation};
+  const Settings& settings = node.settings;
+  node.directory.data_centre = settings.data_centre;
+  node.directory.lease = settings.backend_lease;
+  node.requests.self = settings.id;
+  node.requests.incarnation = parts.incarnation;
+  node.has_replica = settings.roles.control;
+  node.replica.config.self = settings.id;
+  if (settings.roles.control) {
+    node.replica.config.control_instances.insert(settings.id);
+  }
+  if (settings.roles.entry) {
+    node.requests.recorder_pool.push_back(settings.id);
+  }
+  for (const auto& [id, peer] : settings.peers) {
+    node.peers[id].settings = peer;
+    node.silent.insert(id);
+    if (peer.roles.control) {
+      node.replica.config.control_instances.insert(id);
+    }
+    if (peer.roles.entry) {
+      node.requests.recorder_pool.push_back(id);
+    }
+  }
+  for (const wire::DurableRecord& record : parts.control_log) {
+    Restore(node.replica, record);
+  }
+  std::vector<NodeEffect> unused;
+  NodeTurn turn{.node = node, .now = {}, .effects = unused};
+  if (parts.saved_rules) {
+    TakeRules(turn, *parts.saved_rules);
+  }
+  TakeRules(turn, node.replica.committed.rules());
+  return node;
+}
+
+std::vector<NodeEffect> Reduce(Node& node, const NodeEvent& event,
+                               TimePoint now) {
+  std::vector<NodeEffect> effects;
+  NodeTurn turn{.node = node, .now = now, .effects = effects};
+  std::visit(EventVisitor{.turn = turn}, event);
+  return effects;
+}
+
+wire::NodeDump DumpNode(const Node& node, TimePoint now) {
+  wire::NodeDump dump;
+  dump.set_instance(node.settings.id);
+  dump.set_data_centre(node.settings.data_centre);
+  dump.set_incarnation(node.incarnation);
+  dump.set_rules_version(node.rules_file.version());
+  dump.set_control_seq(node.replica.committed.seq());
+  dump.set_serving(node.serving);
+  dump.set_stopping(node.stopping);
+  dump.set_control_role(DescribeRole(node));
+  dump.set_leader(node.known_leader);
+  *dump.mutable_members() = node.replica.committed.members();
+  for (const auto& [id, peer] : node.peers) {
+    wire::PeerDump& item = *dump.add_peers();
+    item.set_instance(id);
+    item.set_heard_ms_ago(peer.heard ? MillisecondsBetween(peer.heard_at, now)
+                                     : -1);
+    item.set_incarnation(peer.hello.incarnation());
+    item.set_rules_version(peer.hello.rules_version());
+    item.set_alive(peer.alive);
+  }
+  for (const auto& [address, backend] : node.directory.backends) {
+    wire::BackendDump& item = *dump.add_backends();
+    item.set_service(backend.announcement.service());
+    item.set_address(FormatEndpoint(address));
+    item.set_data_centre(backend.data_centre);
+    item.set_phase(wire::BackendPhase_Name(backend.announcement.phase()));
+    item.set_slots(backend.announcement.slots());
+    item.set_announced_in_flight(backend.announcement.in_flight());
+    item.set_own_in_flight(backend.own_in_flight);
+    item.set_announced_ms_ago(MillisecondsBetween(backend.announced_at, now));
+    item.set_sequence(backend.announcement.sequence());
+    item.set_consecutive_failures(backend.consecutive_failures);
+  }
+  dump.set_requests_open(node.requests.open.size());
+  dump.set_order_records(node.orders.records.size());
+  dump.set_order_amnesia(node.orders.amnesiac);
+  auto& counters = *dump.mutable_counters();
+  for (const auto& [name, count] : node.counters) {
+    counters[name] = count;
+  }
+  for (const auto& [name, count] : node.requests.counters) {
+    counters["requests_" + name] = count;
+  }
+  return dump;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Node/NodeOperator.cc
@@ -0,0 +1,206 @@
+#include "Base/Hash.h"
+#include "Node/NodeTurn.h"
+#include "Rules/RulesParser.h"
+
+/// What operators ask: submissions, removal of a voter, status and dumps.
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kSubmitLimit{5000};
+
+void Reply(NodeTurn& turn, const Submitter& submitter, wire::Verdict verdict,
+           const std::string& reason) {
+  wire::Envelope envelope;
+  wire::SubmitReply& reply = *envelope.mutable_submit_reply();
+  reply.set_request(submitter.request);
+  reply.set_verdict(verdict);
+  reply.set_reason(reason);
+  if (submitter.client.empty()) {
+    SendPeer(turn, submitter.peer, std::move(envelope));
+    return;
+  }
+  envelope.set_from(turn.node.settings.id);
+  turn.effects.emplace_back(ReplyToOperator{.client = submitter.client,
+                                            .envelope = std::move(envelope)});
+}
+
+std::uint64_t Remember(NodeTurn& turn, Submitter submitter) {
+  const std::uint64_t token = turn.node.next_token++;
+  submitter.expires_at = turn.now + kSubmitLimit;
+  turn.node.submitters[token] = submitter;
+  return token;
+}
+
+/// Hands the file to the leader; the verdict comes back by the token.
+void ForwardToLeader(NodeTurn& turn, const Submitter& submitter,
+                     const wire::RulesFile& file) {
+  const Node& node = turn.node;
+  std::uint32_t leader = node.known_leader;
+  if (node.has_replica && node.replica.leader != 0) {
+    leader = node.replica.leader;
+  }
+  const bool forwarded_before = submitter.client.empty();
+  if (leader == 0 || leader == node.settings.id || forwarded_before) {
+    Reply(turn, submitter, wire::UNKNOWN,
+          "no leader with a majority is known here; nothing was recorded by "
+          "this instance");
+    return;
+  }
+  wire::Envelope envelope;
+  wire::Submit& submit = *envelope.mutable_submit();
+  submit.set_request(Remember(turn, submitter));
+  *submit.mutable_rules() = file;
+  SendPeer(turn, leader, std::move(envelope));
+}
+
+/// Answers from committed history, which every control instance may do.
+bool AnswerFromHistory(NodeTurn& turn, const Submitter& submitter,
+                       const wire::RulesFile& file) {
+  if (!turn.node.has_replica) {
+    return false;
+  }
+  const Ruling ruling = RuleOn(turn.node.replica.committed, file);
+  switch (ruling.kind) {
+    case Ruling::Kind::kAccepted:
+      Reply(turn, submitter, wire::ACCEPTED, ruling.reason);
+      return true;
+    case Ruling::Kind::kRefused:
+      Reply(turn, submitter, wire::REFUSED, ruling.reason);
+      return true;
+    case Ruling::Kind::kForgotten:
+      Reply(turn, submitter, wire::UNKNOWN, ruling.reason);
+      return true;
+    case Ruling::Kind::kOpen:
+      return false;
+  }
+  return false;
+}
+
+void SendStatus(NodeTurn& turn, const std::string& client) {
+  const Node& node = turn.node;
+  wire::Envelope envelope;
+  wire::StatusReply& reply = *envelope.mutable_status_reply();
+  wire::InstanceStatus& own = *reply.add_instances();
+  own.set_instance(node.settings.id);
+  own.set_rules_version(node.rules_file.version());
+  own.set_leader(node.has_replica && HasLease(node.replica, turn.now));
+  for (const auto& [id, peer] : node.peers) {
+    wire::InstanceStatus& item = *reply.add_instances();
+    item.set_instance(id);
+    item.set_rules_version(peer.hello.rules_version());
+    item.set_heard_ms_ago(
+        peer.heard ? MillisecondsBetween(peer.heard_at, turn.now) : -1);
+    item.set_leader(peer.hello.leader_with_lease());
+  }
+  turn.effects.emplace_back(
+      ReplyToOperator{.client = client, .envelope = std::move(envelope)});
+}
+
+void SendDump(NodeTurn& turn, const std::string& client) {
+  wire::Envelope envelope;
+  *envelope.mutable_dump_reply()->mutable_dump() =
+      DumpNode(turn.node, turn.now);
+  turn.effects.emplace_back(
+      ReplyToOperator{.client = client, .envelope = std::move(envelope)});
+}
+
+}  // namespace
+
+void HandleSubmit(NodeTurn& turn, const Submitter& submitter,
+                  const wire::Submit& submit) {
+  Node& node = turn.node;
+  wire::RulesFile file = submit.rules();
+  const ParsedRules parsed = ParseRules(file.text(), "rules");
+  if (!parsed.findings.empty()) {
+    Reply(turn, submitter, wire::REFUSED, FormatFindings(parsed.findings));
+    return;
+  }
+  file.set_version(parsed.rules.version);
+  file.set_digest(Digest(file.text()));
+  if (AnswerFromHistory(turn, submitter, file)) {
+    return;
+  }
+  if (!node.has_replica || node.replica.role != ReplicaRole::kLeader) {
+    ForwardToLeader(turn, submitter, file);
+    return;
+  }
+  ControlSubmitted event{.token = Remember(turn, submitter)};
+  *event.change.mutable_rules() = file;
+  RunReplica(turn, event);
+}
+
+void HandleSubmitReply(NodeTurn& turn, const wire::SubmitReply& reply) {
+  AnswerSubmitter(turn, reply.request(), reply.verdict(), reply.reason());
+}
+
+void HandleRemoveMember(NodeTurn& turn, const Submitter& submitter,
+                        const wire::RemoveMember& remove) {
+  Node& node = turn.node;
+  if (!node.has_replica || !HasLease(node.replica, turn.now)) {
+    Reply(turn, submitter, wire::REFUSED,
+          "this instance is not the leader; ask instance " +
+              std::to_string(node.known_leader));
+    return;
+  }
+  bool present = false;
+  for (const wire::Member& member : node.replica.committed.members()) {
+    present = present || member.instance() == remove.instance();
+  }
+  if (!present) {
+    Reply(turn, submitter, wire::REFUSED, "no such voter");
+    return;
+  }
+  ControlSubmitted event{.token = Remember(turn, submitter)};
+  event.change.mutable_member()->set_instance(remove.instance());
+  RunReplica(turn, event);
+}
+
+void AnswerSubmitter(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
+                     const std::string& reason) {
+  const auto found = turn.node.submitters.find(token);
+  if (found == turn.node.submitters.end()) {
+    return;
+  }
+  const Submitter submitter = found->second;
+  turn.node.submitters.erase(found);
+  Log(turn, EventId::kSubmission, wire::Verdict_Name(verdict) + ": " + reason);
+  Reply(turn, submitter, verdict, reason);
+}
+
+void ExpireSubmitters(NodeTurn& turn) {
+  std::vector<std::uint64_t> expired;
+  for (const auto& [token, submitter] : turn.node.submitters) {
+    if (turn.now >= submitter.expires_at) {
+      expired.push_back(token);
+    }
+  }
+  for (const std::uint64_t token : expired) {
+    AnswerSubmitter(turn, token, wire::UNKNOWN, "no majority answered in time");
+  }
+}
+
+void HandleOperator(NodeTurn& turn, const MessageArrived& event) {
+  switch (event.envelope.kind_case()) {
+    case wire::Envelope::kSubmit:
+      HandleSubmit(turn,
+                   Submitter{.client = event.client,
+                             .request = event.envelope.submit().request()},
+                   event.envelope.submit());
+      return;
+    case wire::Envelope::kRemoveMember:
+      HandleRemoveMember(turn, Submitter{.client = event.client},
+                         event.envelope.remove_member());
+      return;
+    case wire::Envelope::kStatus:
+      SendStatus(turn, event.client);
+      return;
+    case wire::Envelope::kDump:
+      SendDump(turn, event.client);
+      return;
+    default:
+      turn.node.counters["messages_unknown"] += 1;
+      return;
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Node/NodeRules.cc
@@ -0,0 +1,94 @@
+#include "Node/NodeTurn.h"
+#include "Rules/RulesParser.h"
+
+/// Rules in force at this instance: taken in rising order, never back.
+namespace filbertwall {
+namespace {
+
+/// Whether what `peer` says was said after this process started.
+bool HeardSinceStart(const Node& node, const Peer& peer) {
+  return peer.heard && peer.hello.heard_incarnation() == node.incarnation;
+}
+
+/// The version that rules here must have reached before they are served. Empty
+/// while it can't be known.
+std::optional<std::uint64_t> RequiredVersion(const Node& node, TimePoint now) {
+  if (node.has_replica && HasLease(node.replica, now)) {
+    return node.replica.committed.rules().version();
+  }
+  std::set<std::uint32_t> voters;
+  std::size_t control_instances = node.settings.roles.control ? 1 : 0;
+  std::uint64_t highest = 0;
+  if (node.has_replica && IsVoter(node.replica)) {
+    voters.insert(node.settings.id);
+  }
+  for (const auto& [id, peer] : node.peers) {
+    control_instances += peer.settings.roles.control ? 1 : 0;
+    if (!HeardSinceStart(node, peer)) {
+      continue;
+    }
+    if (peer.hello.leader_with_lease()) {
+      return peer.hello.rules_version();
+    }
+    if (peer.hello.voter()) {
+      voters.insert(id);
+      highest = std::max(
+          {highest, peer.hello.rules_version(), peer.hello.pending_version()});
+    }
+  }
+  if (2 * voters.size() > control_instances) {
+    return highest;
+  }
+  return std::nullopt;
+}
+
+/// Nothing can have been served before the first rules file was accepted.
+void EndAmnesiaOfNewDeployment(NodeTurn& turn, std::uint64_t required) {
+  if (required == 0 && turn.node.orders.amnesiac) {
+    turn.node.orders.amnesiac = false;
+    Log(turn, EventId::kOrderMemoryRepaired, "no rules were ever in force");
+  }
+}
+
+}  // namespace
+
+void TakeRules(NodeTurn& turn, const wire::RulesFile& file) {
+  Node& node = turn.node;
+  if (file.version() <= node.rules_file.version()) {
+    return;
+  }
+  ParsedRules parsed = ParseRules(file.text(), "rules");
+  if (!parsed.findings.empty()) {
+    node.counters["rules_unreadable"] += 1;
+    return;
+  }
+  node.rules_file = file;
+  node.rules = std::move(parsed.rules);
+  node.directory.generation += 1;
+  node.hello_at = turn.now;  // Tells the others without delay.
+  turn.effects.emplace_back(PersistRules{.rules = file});
+  Log(turn, EventId::kRulesInForce,
+      "version " + std::to_string(file.version()) + " from " +
+          file.submitter());
+}
+
+void ConfirmRules(NodeTurn& turn) {
+  Node& node = turn.node;
+  if (node.serving) {
+    return;
+  }
+  const auto required = RequiredVersion(node, turn.now);
+  if (!required) {
+    return;
+  }
+  EndAmnesiaOfNewDeployment(turn, *required);
+  const bool ready =
+      node.rules_file.version() >= *required && node.rules_file.version() > 0;
+  if (ready) {
+    node.serving = true;
+    Log(turn, EventId::kServing,
+        "rules version " + std::to_string(node.rules_file.version()));
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Requests/Balancer.cc
@@ -0,0 +1,111 @@
+#include "Requests/Balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "Base/Hash.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kColdStartRamp{3000};
+constexpr Milliseconds kAnnouncedLoadHalfLife{1000};
+constexpr std::uint32_t kFailuresUntilAvoided = 3;
+constexpr Milliseconds kFirstAvoidance{500};
+constexpr Milliseconds kLongestAvoidance{8000};
+
+bool FailedLately(const Backend& backend, TimePoint now) {
+  if (backend.consecutive_failures < kFailuresUntilAvoided) {
+    return false;
+  }
+  const std::uint32_t doublings =
+      std::min(backend.consecutive_failures - kFailuresUntilAvoided, 4U);
+  const Milliseconds avoidance =
+      std::min(kFirstAvoidance * (1U << doublings), kLongestAvoidance);
+  return now - backend.last_failure < avoidance;
+}
+
+using Candidates = std::vector<const Backend*>;
+
+/// Keeps those that satisfy `preferred`, or all when none does.
+template <typename Predicate>
+Candidates Prefer(const Candidates& candidates, Predicate preferred) {
+  Candidates kept;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(kept),
+               preferred);
+  return kept.empty() ? candidates : kept;
+}
+
+bool HasFreeSlot(const Backend& backend, const Rules& rules, TimePoint now) {
+  const double slots = EffectiveSlots(backend, rules, now);
+  return backend.own_in_flight + 1.0 <= slots &&
+         EstimatedLoad(backend, now) + 0.5 <= slots;
+}
+
+double Pressure(const Backend& backend, const Rules& rules, TimePoint now) {
+  const std::uint32_t weight =
+      WeightOf(rules, backend.announcement.service(), backend.address);
+  return (EstimatedLoad(backend, now) + 1.0) /
+         (EffectiveSlots(backend, rules, now) * std::max(weight, 1U));
+}
+
+}  // namespace
+
+double EstimatedLoad(const Backend& backend, TimePoint now) {
+  const auto announced = backend.announcement.in_flight();
+  const double others = std::max<double>(
+      0.0, static_cast<double>(announced) - backend.own_when_announced);
+  const auto age_ms =
+      static_cast<double>(MillisecondsBetween(backend.announced_at, now));
+  const double trust =
+      std::exp2(-age_ms / static_cast<double>(kAnnouncedLoadHalfLife.count()));
+  return backend.own_in_flight + others * trust;
+}
+
+double EffectiveSlots(const Backend& backend, const Rules& rules,
+                      TimePoint now) {
+  double slots = backend.announcement.slots();
+  const auto limit = rules.limits.find(backend.announcement.service());
+  if (limit != rules.limits.end() && limit->second.slots > 0) {
+    slots = std::min<double>(slots, limit->second.slots);
+  }
+  const auto ready_ms =
+      static_cast<double>(MillisecondsBetween(backend.ready_since, now));
+  const double warmth = ready_ms / static_cast<double>(kColdStartRamp.count());
+  return std::max(1.0, slots * std::clamp(warmth, 0.0, 1.0));
+}
+
+Choice ChooseBackend(const Directory& directory, const Rules& rules,
+                     const ChoiceRequest& request, TimePoint now) {
+  Candidates all = CandidatesFor(directory, rules, request.service, now);
+  if (all.empty()) {
+    return {};
+  }
+  all = Prefer(all, [&](const Backend* backend) {
+    return !FailedLately(*backend, now);
+  });
+  Candidates free;
+  std::copy_if(all.begin(), all.end(), std::back_inserter(free),
+               [&](const Backend* backend) {
+                 return HasFreeSlot(*backend, rules, now);
+               });
+  if (free.empty()) {
+    return {.kind = Choice::Kind::kFull};
+  }
+  free = Prefer(free, [&](const Backend* backend) {
+    return !request.avoided.contains(backend->address);
+  });
+  free = Prefer(free, [&](const Backend* backend) {
+    return backend->data_centre == directory.data_centre;
+  });
+  const Backend* first = free[request.seed % free.size()];
+  const Backend* second =
+      free[MixHash(request.seed, free.size()) % free.size()];
+  const bool second_better =
+      Pressure(*second, rules, now) < Pressure(*first, rules, now);
+  return {.kind = Choice::Kind::kChosen,
+          .backend = (second_better ? second : first)->address};
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Requests/OrderClaim.cc
@@ -0,0 +1,193 @@
+#include <algorithm>
+
+#include "Base/Hash.h"
+#include "Requests/RequestTurn.h"
+
+/// Claims: how an instance gains the sole right to dispatch an order.
+namespace filbertwall {
+namespace {
+
+constexpr std::size_t kRecordersPerKey = 3;
+constexpr Milliseconds kRecorderTimeout{150};
+constexpr Milliseconds kRetryPause{20};
+
+std::uint64_t NewAttempt(RequestTier& tier) {
+  const std::uint64_t number = tier.next_attempt++;
+  return MixHash(MixHash(tier.incarnation, tier.self), number);
+}
+
+wire::OrderRecord RecordOf(const OpenRequest& open) {
+  wire::OrderRecord record;
+  record.set_key(open.key);
+  record.set_generation(open.generation);
+  record.set_attempt(open.claim.attempt);
+  record.set_request_digest(
+      MixHash(Hash64(open.request.method + " " + open.request.path),
+              Hash64(open.request.body)));
+  return record;
+}
+
+void AskNext(RequestTurn& turn, OpenRequest& open) {
+  ClaimState& claim = open.claim;
+  wire::Claim message;
+  *message.mutable_record() = RecordOf(open);
+  turn.effects.emplace_back(
+      SendClaim{.to = claim.recorders[claim.asked], .claim = message});
+  claim.asked += 1;
+  claim.next_step_at = turn.context.now + kRecorderTimeout;
+}
+
+/// The first recorder settles races, so the others are asked only after it.
+void AskOthers(RequestTurn& turn, OpenRequest& open) {
+  while (open.claim.asked < open.claim.recorders.size()) {
+    AskNext(turn, open);
+  }
+}
+
+std::size_t Majority(const ClaimState& claim) {
+  return claim.recorders.size() / 2 + 1;
+}
+
+void PauseClaim(RequestTurn& turn, OpenRequest& open) {
+  WithdrawClaim(turn, open);
+  const std::uint64_t jitter = MixHash(open.claim.attempt, open.claim.tries);
+  open.phase = RequestPhase::kWaiting;
+  open.claim.next_step_at = turn.context.now + kRetryPause * (1 + jitter % 4);
+}
+
+void TakeExisting(RequestTurn& turn, OpenRequest& open,
+                  const wire::OrderRecord& existing) {
+  if (existing.request_digest() != RecordOf(open).request_digest()) {
+    WithdrawClaim(turn, open);
+    wire::Answer answer;
+    answer.set_status(422);
+    answer.set_body("the Idempotency-Key was used for another request\n");
+    wire::OrderRecord record;
+    *record.mutable_answer() = answer;
+    FinishAsRecorded(turn, open, record);
+    return;
+  }
+  if (existing.phase() == wire::INTENT ||
+      existing.generation() > open.generation) {
+    PauseClaim(turn, open);
+    return;
+  }
+  WithdrawClaim(turn, open);
+  FinishAsRecorded(turn, open, existing);
+}
+
+void SendWithdrawal(RequestTurn& turn, std::uint32_t to, const std::string& key,
+                    std::uint64_t attempt) {
+  wire::Outcome outcome;
+  outcome.mutable_record()->set_key(key);
+  outcome.mutable_record()->set_attempt(attempt);
+  outcome.mutable_record()->set_phase(wire::NOT_RUN);
+  turn.effects.emplace_back(SendOutcome{.to = to, .outcome = outcome});
+}
+
+OpenRequest* FindClaim(RequestTier& tier, const wire::ClaimReply& reply) {
+  const auto request = tier.attempts.find(reply.attempt());
+  if (request == tier.attempts.end()) {
+    return nullptr;
+  }
+  const auto open = tier.open.find(request->second);
+  return open == tier.open.end() ? nullptr : &open->second;
+}
+
+}  // namespace
+
+std::vector<std::uint32_t> RecordersOf(const std::vector<std::uint32_t>& pool,
+                                       const std::string& key) {
+  std::vector<std::uint32_t> ranked = pool;
+  const std::uint64_t key_hash = Hash64(key);
+  std::sort(ranked.begin(), ranked.end(),
+            [&](std::uint32_t left, std::uint32_t right) {
+              return MixHash(key_hash, left) > MixHash(key_hash, right);
+            });
+  ranked.resize(std::min(ranked.size(), kRecordersPerKey));
+  return ranked;
+}
+
+void StartClaim(RequestTurn& turn, OpenRequest& open) {
+  ClaimState& claim = open.claim;
+  const std::uint32_t tries = claim.tries + 1;
+  claim =
+      ClaimState{.recorders = RecordersOf(turn.tier.recorder_pool, open.key),
+                 .attempt = NewAttempt(turn.tier),
+                 .started_at = turn.context.now,
+                 .tries = tries};
+  turn.tier.attempts[claim.attempt] = open.id;
+  open.phase = RequestPhase::kClaiming;
+  // Silent recorders are asked last, but asked: the set never changes.
+  std::stable_partition(claim.recorders.begin(), claim.recorders.end(),
+                        [&](std::uint32_t instance) {
+                          return !turn.context.silent.contains(instance);
+                        });
+  AskNext(turn, open);
+}
+
+void HandleClaimAnswered(RequestTurn& turn, const ClaimAnswered& event) {
+  const wire::ClaimReply& reply = event.reply;
+  OpenRequest* open = FindClaim(turn.tier, reply);
+  const bool current = open != nullptr &&
+                       open->claim.attempt == reply.attempt() &&
+                       open->phase == RequestPhase::kClaiming;
+  if (!current) {
+    // A grant that arrives after its claim was given up must not stay.
+    if (reply.granted() && turn.tier.withdrawn.contains(reply.attempt())) {
+      SendWithdrawal(turn, event.from, reply.key(), reply.attempt());
+    }
+    return;
+  }
+  if (!reply.granted()) {
+    if (reply.has_existing()) {
+      TakeExisting(turn, *open, reply.existing());
+    }
+    return;
+  }
+  open->claim.stored.insert(event.from);
+  if (!reply.amnesiac()) {
+    open->claim.granted.insert(event.from);
+  }
+  AskOthers(turn, *open);
+  const bool in_time = turn.context.now - open->claim.started_at < kClaimLimit;
+  if (open->claim.granted.size() >= Majority(open->claim) && in_time) {
+    Dispatch(turn, *open);
+  }
+}
+
+void StepClaim(RequestTurn& turn, OpenRequest& open) {
+  if (turn.context.now < open.claim.next_step_at) {
+    return;
+  }
+  if (open.phase == RequestPhase::kWaiting) {
+    StartClaim(turn, open);
+    return;
+  }
+  if (open.claim.asked < open.claim.recorders.size()) {
+    AskOthers(turn, open);
+    return;
+  }
+  PauseClaim(turn, open);
+}
+
+void WithdrawClaim(RequestTurn& turn, OpenRequest& open) {
+  for (std::size_t i = 0; i < open.claim.asked; ++i) {
+    SendWithdrawal(turn, open.claim.recorders[i], open.key, open.claim.attempt);
+  }
+  turn.tier.attempts.erase(open.claim.attempt);
+  turn.tier.withdrawn[open.claim.attempt] = turn.context.now;
+}
+
+void SendOutcomes(RequestTurn& turn, const OpenRequest& open,
+                  wire::OrderPhase phase, const wire::Answer& answer) {
+  wire::Outcome outcome;
+  *outcome.mutable_record() = RecordOf(open);
+  outcome.mutable_record()->set_phase(phase);
+  *outcome.mutable_record()->mutable_answer() = answer;
+  for (const std::uint32_t recorder : open.claim.recorders) {
+    turn.effects.emplace_back(SendOutcome{.to = recorder, .outcome = outcome});
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Requests/OrderLog.cc
@@ -0,0 +1,119 @@
+#include "Requests/OrderLog.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr std::size_t kPageBytes = 256 * 1024;
+
+/// Whether `claim` opens a new generation of an order known as not run.
+bool OpensGeneration(const wire::OrderRecord& claim,
+                     const wire::OrderRecord& stored) {
+  return stored.phase() == wire::NOT_RUN &&
+         claim.generation() > stored.generation();
+}
+
+void Store(OrderLog& log, const wire::OrderRecord& record, TimePoint now) {
+  const TimePoint stored_at = now - Milliseconds(record.age_ms());
+  log.records[record.key()] =
+      StoredOrder{.record = record, .stored_at = stored_at};
+}
+
+/// Whether `fresh` tells more about the order than `stored`.
+bool KnowsMore(const wire::OrderRecord& fresh,
+               const wire::OrderRecord& stored) {
+  if (fresh.generation() != stored.generation()) {
+    return fresh.generation() > stored.generation();
+  }
+  return stored.phase() == wire::INTENT && fresh.phase() != wire::INTENT;
+}
+
+}  // namespace
+
+wire::ClaimReply TakeClaim(OrderLog& log, const wire::Claim& claim,
+                           TimePoint now) {
+  const wire::OrderRecord& wanted = claim.record();
+  wire::ClaimReply reply;
+  reply.set_key(wanted.key());
+  reply.set_attempt(wanted.attempt());
+  const auto stored = log.records.find(wanted.key());
+  if (stored != log.records.end()) {
+    const wire::OrderRecord& record = stored->second.record;
+    if (record.attempt() == wanted.attempt()) {
+      reply.set_granted(record.phase() == wire::INTENT);
+      *reply.mutable_existing() = record;
+      return reply;
+    }
+    if (!OpensGeneration(wanted, record)) {
+      *reply.mutable_existing() = record;
+      return reply;
+    }
+  }
+  if (log.records.size() >= log.limit) {
+    reply.set_amnesiac(true);  // It can't remember, so it can't vouch.
+    return reply;
+  }
+  Store(log, wanted, now);
+  reply.set_granted(true);
+  reply.set_amnesiac(log.amnesiac);
+  return reply;
+}
+
+void TakeOutcome(OrderLog& log, const wire::OrderRecord& record,
+                 TimePoint now) {
+  const auto stored = log.records.find(record.key());
+  const bool known = stored != log.records.end();
+  const bool same_attempt =
+      known && stored->second.record.attempt() == record.attempt();
+  const bool withdrawn =
+      record.phase() == wire::NOT_RUN && record.answer().status() == 0;
+  if (withdrawn) {
+    if (same_attempt && stored->second.record.phase() == wire::INTENT) {
+      log.records.erase(stored);
+    }
+    return;
+  }
+  if (!known || same_attempt || KnowsMore(record, stored->second.record)) {
+    Store(log, record, now);
+  }
+}
+
+void MergeRecords(OrderLog& log, const wire::RecordsPage& page, TimePoint now) {
+  for (const wire::OrderRecord& record : page.records()) {
+    const auto stored = log.records.find(record.key());
+    if (stored == log.records.end() ||
+        KnowsMore(record, stored->second.record)) {
+      Store(log, record, now);
+    }
+  }
+}
+
+wire::RecordsPage PageOfRecords(const OrderLog& log, const std::string& after,
+                                TimePoint now) {
+  wire::RecordsPage page;
+  page.set_complete(!log.amnesiac);
+  std::size_t bytes = 0;
+  for (auto item = log.records.upper_bound(after); item != log.records.end();
+       ++item) {
+    if (bytes > kPageBytes) {
+      page.set_next(page.records(page.records_size() - 1).key());
+      return page;
+    }
+    wire::OrderRecord& record = *page.add_records();
+    record = item->second.record;
+    record.set_age_ms(static_cast<std::uint32_t>(
+        MillisecondsBetween(item->second.stored_at, now)));
+    bytes += record.ByteSizeLong();
+  }
+  return page;
+}
+
+void ExpireOrders(OrderLog& log, TimePoint now) {
+  std::erase_if(log.records, [&](const auto& item) {
+    return now - item.second.stored_at > log.retention;
+  });
+  if (log.amnesiac && now - log.started_at > log.retention) {
+    log.amnesiac = false;
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Rules/Explain.cc
@@ -0,0 +1,67 @@
+#include "Rules/Explain.h"
+
+namespace filbertwall {
+namespace {
+
+std::string Whose(const Origin& origin) {
+  return "line " + std::to_string(origin.line) + ", asked by " + origin.asker +
+         "\n";
+}
+
+Explanation ExplainFlow(const Rules& rules, const std::string& text) {
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint) {
+    return {.text = "\"" + text + "\": expected IP:PORT\n"};
+  }
+  const auto address = rules.addresses.find(*endpoint);
+  if (address == rules.addresses.end()) {
+    return {.text = text + ": no address line names it\n"};
+  }
+  const ServiceRule& service = rules.services.at(address->second.service);
+  return {.found = true,
+          .text = "address " + text + " -> service " + service.name + ": " +
+                  Whose(address->second.origin) + "service " + service.name +
+                  ": " + Whose(service.origin)};
+}
+
+Explanation ExplainRequest(const Rules& rules, const std::string& host,
+                           const std::string& method, const std::string& path) {
+  const ServiceRule* service = FindServiceByHost(rules, host);
+  if (service == nullptr) {
+    return {.text = host + ": no service has this name or address\n"};
+  }
+  std::string text = "service " + service->name + ": " + Whose(service->origin);
+  const RequestRule* rule = FindRequestRule(rules, service->name, method, path);
+  if (rule == nullptr) {
+    text += "request " + method + " " + path + ": no line; defaults apply\n";
+  } else {
+    text += "request " + rule->method + " " + rule->path +
+            " deadline=" + std::to_string(rule->deadline.count()) +
+            "ms retries=" + std::to_string(rule->retries) +
+            " queue=" + std::to_string(rule->queue) + ": " +
+            Whose(rule->origin);
+  }
+  text += std::string("idempotent: ") +
+          (IsIdempotent(rule, method) ? "yes" : "no") + "\n";
+  const auto limit = rules.limits.find(service->name);
+  if (limit != rules.limits.end()) {
+    text += "limit slots=" + std::to_string(limit->second.slots) + ": " +
+            Whose(limit->second.origin);
+  }
+  return {.found = true, .text = text};
+}
+
+}  // namespace
+
+Explanation Explain(const Rules& rules,
+                    const std::vector<std::string>& subject) {
+  if (subject.size() == 1) {
+    return ExplainFlow(rules, subject[0]);
+  }
+  if (subject.size() == 3) {
+    return ExplainRequest(rules, subject[0], subject[1], subject[2]);
+  }
+  return {.text = "expected HOST METHOD PATH, or IP:PORT\n"};
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Rules/RulesParser.cc
@@ -0,0 +1,361 @@
+#include "Rules/RulesParser.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+#include "Base/Text.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr std::string_view kAskerMark = "by:";
+
+using Options = std::map<std::string, std::string>;
+
+/// State of one pass over the file.
+struct Parser {
+  ParsedRules result;
+  std::string file;
+  std::string line_text;
+  Origin origin;
+  bool version_seen = false;
+  Origin version_origin;
+};
+
+void Report(Parser& parser, const std::string& text,
+            const std::string& expected) {
+  parser.result.findings.push_back(Finding{.file = parser.file,
+                                           .line = parser.origin.line,
+                                           .text = text,
+                                           .expected = expected});
+}
+
+void ReportConflict(Parser& parser, const Origin& earlier) {
+  Report(parser, parser.line_text,
+         "no other wish than line " + std::to_string(earlier.line) +
+             "; asked by \"" + parser.origin.asker +
+             "\", and against it by \"" + earlier.asker + "\"");
+}
+
+/// Splits "key=value" words; reports any that is unknown, doubled or bare.
+Options ParseOptions(Parser& parser, const std::vector<std::string>& words,
+                     std::size_t first, const std::set<std::string>& known) {
+  Options options;
+  std::string known_list;
+  for (const std::string& key : known) {
+    known_list += (known_list.empty() ? "" : ", ") + key + "=";
+  }
+  for (std::size_t i = first; i < words.size(); ++i) {
+    const std::size_t equals = words[i].find('=');
+    const std::string key = words[i].substr(0, equals);
+    if (equals == std::string::npos || !known.contains(key)) {
+      Report(parser, words[i], "one of " + known_list);
+      continue;
+    }
+    if (!options.emplace(key, words[i].substr(equals + 1)).second) {
+      Report(parser, words[i], key + "= once");
+    }
+  }
+  return options;
+}
+
+template <typename Value>
+void TakeChoice(Parser& parser, const Options& options, const std::string& key,
+                const std::map<std::string, Value>& choices, Value& target) {
+  const auto option = options.find(key);
+  if (option == options.end()) {
+    return;
+  }
+  const auto choice = choices.find(option->second);
+  if (choice != choices.end()) {
+    target = choice->second;
+    return;
+  }
+  std::string list;
+  for (const auto& [name, value] : choices) {
+    list += (list.empty() ? "" : " or ") + name;
+  }
+  Report(parser, key + "=" + option->second, list);
+}
+
+void TakeNumber(Parser& parser, const Options& options, const std::string& key,
+                std::uint32_t min, std::uint32_t max, std::uint32_t& target) {
+  const auto option = options.find(key);
+  if (option == options.end()) {
+    return;
+  }
+  const auto number = ParseNumber(option->second, min, max);
+  if (!number) {
+    Report(
+        parser, key + "=" + option->second,
+        "a number from " + std::to_string(min) + " to " + std::to_string(max));
+    return;
+  }
+  target = static_cast<std::uint32_t>(*number);
+}
+
+bool HasWords(Parser& parser, const std::vector<std::string>& words,
+              std::size_t count, const std::string& shape) {
+  if (words.size() >= count) {
+    return true;
+  }
+  Report(parser, parser.line_text, shape);
+  return false;
+}
+
+std::optional<Endpoint> TakeEndpoint(Parser& parser, const std::string& word) {
+  const auto endpoint = ParseEndpoint(word);
+  if (!endpoint) {
+    Report(parser, word, "an IPv4 address and a port, such as 10.0.0.1:80");
+  }
+  return endpoint;
+}
+
+void ParseVersion(Parser& parser, const std::vector<std::string>& words) {
+  const auto number = words.size() == 2 ? ParseNumber(words[1], 1, INT64_MAX)
+                                        : std::optional<std::uint64_t>();
+  if (!number) {
+    Report(parser, parser.line_text, "version NUMBER, from 1 upwards");
+    return;
+  }
+  if (parser.version_seen) {
+    if (parser.result.rules.version != *number) {
+      ReportConflict(parser, parser.version_origin);
+    }
+    return;
+  }
+  parser.version_seen = true;
+  parser.version_origin = parser.origin;
+  parser.result.rules.version = *number;
+}
+
+void ParseService(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasWords(parser, words, 2,
+                "service NAME [protocol=http|packets] "
+                "[prefer=stability|balance]")) {
+    return;
+  }
+  const Options options =
+      ParseOptions(parser, words, 2, {"protocol", "prefer"});
+  ServiceRule rule{.name = words[1], .origin = parser.origin};
+  TakeChoice<Protocol>(
+      parser, options, "protocol",
+      {{"http", Protocol::kHttp}, {"packets", Protocol::kPackets}},
+      rule.protocol);
+  TakeChoice<Preference>(parser, options, "prefer",
+                         {{"stability", Preference::kStability},
+                          {"balance", Preference::kBalance}},
+                         rule.preference);
+  const auto [position, added] =
+      parser.result.rules.services.emplace(rule.name, rule);
+  const ServiceRule& first = position->second;
+  if (!added && (first.protocol != rule.protocol ||
+                 first.preference != rule.preference)) {
+    ReportConflict(parser, first.origin);
+  }
+}
+
+void ParseAddress(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasWords(parser, words, 3, "address IP:PORT SERVICE")) {
+    return;
+  }
+  ParseOptions(parser, words, 3, {});
+  const auto endpoint = TakeEndpoint(parser, words[1]);
+  if (!endpoint) {
+    return;
+  }
+  const AddressRule rule{
+      .address = *endpoint, .service = words[2], .origin = parser.origin};
+  const auto [position, added] =
+      parser.result.rules.addresses.emplace(*endpoint, rule);
+  if (!added && position->second.service != rule.service) {
+    ReportConflict(parser, position->second.origin);
+  }
+}
+
+bool SameTreatment(const RequestRule& left, const RequestRule& right) {
+  return left.deadline == right.deadline && left.retries == right.retries &&
+         left.queue == right.queue && left.idempotence == right.idempotence &&
+         left.traffic_class == right.traffic_class;
+}
+
+void ParseRequest(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasWords(parser, words, 4,
+                "request SERVICE METHOD PATH [deadline=] [retries=] "
+                "[idempotent=] [queue=] [class=]")) {
+    return;
+  }
+  const Options options =
+      ParseOptions(parser, words, 4,
+                   {"deadline", "retries", "idempotent", "queue", "class"});
+  RequestRule rule{.service = words[1],
+                   .method = words[2],
+                   .path = words[3],
+                   .origin = parser.origin};
+  const auto deadline = options.find("deadline");
+  if (deadline != options.end()) {
+    const auto duration = ParseDuration(deadline->second);
+    if (duration && duration->count() > 0) {
+      rule.deadline = *duration;
+    } else {
+      Report(parser, "deadline=" + deadline->second,
+             "a duration from 1ms to 3600s");
+    }
+  }
+  constexpr std::uint32_t kMostRetries = 10;
+  constexpr std::uint32_t kLongestQueue = 100000;
+  TakeNumber(parser, options, "retries", 0, kMostRetries, rule.retries);
+  TakeNumber(parser, options, "queue", 0, kLongestQueue, rule.queue);
+  TakeChoice<Idempotence>(
+      parser, options, "idempotent",
+      {{"yes", Idempotence::kYes}, {"no", Idempotence::kNo}}, rule.idempotence);
+  TakeChoice<TrafficClass>(parser, options, "class",
+                           {{"interactive", TrafficClass::kInteractive},
+                            {"bulk", TrafficClass::kBulk}},
+                           rule.traffic_class);
+  if (!rule.path.starts_with("/")) {
+    Report(parser, rule.path, "a path that starts with /");
+  }
+  if (rule.retries > 0 && !IsIdempotent(&rule, rule.method)) {
+    Report(parser, "retries=" + std::to_string(rule.retries),
+           "retries=0, as the request is not idempotent");
+  }
+  for (const RequestRule& earlier : parser.result.rules.requests) {
+    const bool same_subject = earlier.service == rule.service &&
+                              earlier.method == rule.method &&
+                              earlier.path == rule.path;
+    if (same_subject && !SameTreatment(earlier, rule)) {
+      ReportConflict(parser, earlier.origin);
+    }
+  }
+  parser.result.rules.requests.push_back(rule);
+}
+
+void ParseWeight(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasWords(parser, words, 4, "weight SERVICE IP:PORT NUMBER")) {
+    return;
+  }
+  ParseOptions(parser, words, 4, {});
+  constexpr std::uint32_t kMostWeight = 1000;
+  WeightRule rule{.service = words[1], .origin = parser.origin};
+  const auto endpoint = TakeEndpoint(parser, words[2]);
+  const auto weight = ParseNumber(words[3], 0, kMostWeight);
+  if (!weight) {
+    Report(parser, words[3], "a weight from 0 to 1000");
+  }
+  if (!endpoint || !weight) {
+    return;
+  }
+  rule.backend = *endpoint;
+  rule.weight = static_cast<std::uint32_t>(*weight);
+  for (const WeightRule& earlier : parser.result.rules.weights) {
+    const bool same_subject =
+        earlier.service == rule.service && earlier.backend == rule.backend;
+    if (same_subject && earlier.weight != rule.weight) {
+      ReportConflict(parser, earlier.origin);
+    }
+  }
+  parser.result.rules.weights.push_back(rule);
+}
+
+void ParseLimit(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasWords(parser, words, 3, "limit SERVICE slots=NUMBER")) {
+    return;
+  }
+  constexpr std::uint32_t kMostSlots = 100000;
+  const Options options = ParseOptions(parser, words, 2, {"slots"});
+  LimitRule rule{.service = words[1], .origin = parser.origin};
+  TakeNumber(parser, options, "slots", 1, kMostSlots, rule.slots);
+  const auto [position, added] =
+      parser.result.rules.limits.emplace(rule.service, rule);
+  if (!added && position->second.slots != rule.slots) {
+    ReportConflict(parser, position->second.origin);
+  }
+}
+
+void ParseWords(Parser& parser, const std::vector<std::string>& words) {
+  static const std::map<std::string,
+                        void (*)(Parser&, const std::vector<std::string>&)>
+      kKinds = {{"version", ParseVersion}, {"service", ParseService},
+                {"address", ParseAddress}, {"request", ParseRequest},
+                {"weight", ParseWeight},   {"limit", ParseLimit}};
+  const auto kind = kKinds.find(words[0]);
+  if (kind == kKinds.end()) {
+    Report(parser, words[0],
+           "version, service, address, request, weight or limit");
+    return;
+  }
+  kind->second(parser, words);
+}
+
+void ParseLine(Parser& parser, std::string_view line) {
+  const std::size_t hash = line.find('#');
+  const std::string_view rule = Trim(line.substr(0, hash));
+  if (rule.empty()) {
+    return;
+  }
+  std::string_view comment;
+  if (hash != std::string_view::npos) {
+    comment = Trim(line.substr(hash + 1));
+  }
+  parser.line_text = std::string(rule);
+  parser.origin.asker.clear();
+  if (comment.starts_with(kAskerMark)) {
+    parser.origin.asker = Trim(comment.substr(kAskerMark.size()));
+  }
+  if (parser.origin.asker.empty()) {
+    Report(parser, parser.line_text,
+           "a comment that names who asked for it: # by: NAME");
+  }
+  ParseWords(parser, SplitWords(rule));
+}
+
+/// Reports rules whose service no line defines.
+void CheckReference(Parser& parser, const std::string& service,
+                    const Origin& origin) {
+  if (parser.result.rules.services.contains(service)) {
+    return;
+  }
+  parser.origin = origin;
+  Report(parser, service, "a service that a service line defines");
+}
+
+void CheckReferences(Parser& parser) {
+  const Rules& rules = parser.result.rules;
+  for (const auto& [endpoint, rule] : rules.addresses) {
+    CheckReference(parser, rule.service, rule.origin);
+  }
+  for (const RequestRule& rule : rules.requests) {
+    CheckReference(parser, rule.service, rule.origin);
+  }
+  for (const WeightRule& rule : rules.weights) {
+    CheckReference(parser, rule.service, rule.origin);
+  }
+  for (const auto& [service, rule] : rules.limits) {
+    CheckReference(parser, service, rule.origin);
+  }
+}
+
+}  // namespace
+
+ParsedRules ParseRules(std::string_view text, const std::string& file_name) {
+  Parser parser{.file = file_name};
+  int number = 0;
+  for (const std::string& line : SplitAt(text, '\n')) {
+    parser.origin.line = ++number;
+    ParseLine(parser, line);
+  }
+  CheckReferences(parser);
+  if (!parser.version_seen) {
+    parser.origin.line = 0;
+    Report(parser, "", "a line: version NUMBER  # by: NAME");
+  }
+  std::stable_sort(parser.result.findings.begin(), parser.result.findings.end(),
+                   [](const Finding& left, const Finding& right) {
+                     return left.line < right.line;
+                   });
+  return std::move(parser.result);
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Settings/Settings.cc
@@ -0,0 +1,271 @@
+#include "Settings/Settings.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <set>
+
+#include "Base/Text.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr std::size_t kPublicKeyLength = 40;  // Z85 of 32 bytes
+
+struct Parser {
+  ParsedSettings result;
+  std::string file;
+  std::string_view unread;
+  int line = 0;
+  std::set<std::string> seen;
+};
+
+void Report(Parser& parser, const std::string& text,
+            const std::string& expected) {
+  parser.result.findings.push_back(Finding{.file = parser.file,
+                                           .line = parser.line,
+                                           .text = text,
+                                           .expected = expected});
+}
+
+/// Hands inih one line a call, so that the line number is known.
+char* ReadLine(char* buffer, int size, void* stream) {
+  auto& parser = *static_cast<Parser*>(stream);
+  if (parser.unread.empty()) {
+    return nullptr;
+  }
+  ++parser.line;
+  const std::size_t newline = parser.unread.find('\n');
+  const std::size_t length = std::min(newline, parser.unread.size());
+  std::string line(parser.unread.substr(0, length));
+  parser.unread.remove_prefix(newline == std::string_view::npos ? length
+                                                                : length + 1);
+  if (line.size() + 2 > static_cast<std::size_t>(size)) {
+    Report(parser, line.substr(0, 20) + "...", "a line of at most 198 bytes");
+    line.clear();
+  }
+  line += '\n';
+  std::copy(line.begin(), line.end(), buffer);
+  buffer[line.size()] = '\0';
+  return buffer;
+}
+
+using Setter = std::function<void(Parser&, const std::string&)>;
+
+Setter TextSetter(std::string& target) {
+  return [&target](Parser&, const std::string& value) { target = value; };
+}
+
+Setter NumberSetter(std::uint32_t& target, std::uint32_t min) {
+  return [&target, min](Parser& parser, const std::string& value) {
+    const auto number = ParseNumber(value, min, UINT32_MAX);
+    if (!number) {
+      Report(parser, value, "a number from " + std::to_string(min));
+      return;
+    }
+    target = static_cast<std::uint32_t>(*number);
+  };
+}
+
+Setter DurationSetter(Milliseconds& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const auto duration = ParseDuration(value);
+    if (!duration || duration->count() == 0) {
+      Report(parser, value, "a duration such as 500ms or 30s");
+      return;
+    }
+    target = *duration;
+  };
+}
+
+Setter EndpointSetter(Endpoint& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const auto endpoint = ParseEndpoint(value);
+    if (!endpoint) {
+      Report(parser, value, "an IPv4 address and a port");
+      return;
+    }
+    target = *endpoint;
+  };
+}
+
+Setter RolesSetter(Roles& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    for (const std::string& part : SplitAt(value, ',')) {
+      const std::string_view role = Trim(part);
+      if (role == "entry") {
+        target.entry = true;
+      } else if (role == "control") {
+        target.control = true;
+      } else {
+        Report(parser, value, "entry, control, or both with a comma");
+      }
+    }
+  };
+}
+
+Setter KeySetter(std::string& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    if (value.size() != kPublicKeyLength) {
+      Report(parser, value, "a public key of 40 characters");
+      return;
+    }
+    target = value;
+  };
+}
+
+Setter CurveSetter(bool& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    if (value != "curve" && value != "none") {
+      Report(parser, value, "curve or none");
+      return;
+    }
+    target = value == "curve";
+  };
+}
+
+using Setters = std::map<std::string, Setter>;
+
+Setters InstanceSetters(Settings& settings) {
+  return {{"id", NumberSetter(settings.id, 1)},
+          {"data_centre", TextSetter(settings.data_centre)},
+          {"roles", RolesSetter(settings.roles)},
+          {"data_folder", TextSetter(settings.data_folder)},
+          {"control_address", EndpointSetter(settings.control_address)},
+          {"http_address", EndpointSetter(settings.http_address)},
+          {"announce_address", EndpointSetter(settings.announce_address)},
+          {"packet_address", EndpointSetter(settings.packet_address)},
+          {"drain_limit", DurationSetter(settings.drain_limit)},
+          {"backend_lease", DurationSetter(settings.backend_lease)},
+          {"flow_limit", NumberSetter(settings.flow_limit, 1)}};
+}
+
+Setters SecuritySetters(Settings& settings) {
+  return {{"mode", CurveSetter(settings.security.curve)},
+          {"secret_key_file", TextSetter(settings.security.secret_key_file)}};
+}
+
+Setters PeerSetters(PeerSettings& peer) {
+  return {{"address", EndpointSetter(peer.address)},
+          {"data_centre", TextSetter(peer.data_centre)},
+          {"roles", RolesSetter(peer.roles)},
+          {"public_key", KeySetter(peer.public_key)}};
+}
+
+Setters SettersOf(Parser& parser, const std::string& section) {
+  constexpr std::string_view kPeer = "peer.";
+  constexpr std::string_view kOperator = "operator.";
+  Settings& settings = parser.result.settings;
+  if (section == "instance") {
+    return InstanceSetters(settings);
+  }
+  if (section == "security") {
+    return SecuritySetters(settings);
+  }
+  if (section.starts_with(kPeer)) {
+    const auto id = ParseNumber(section.substr(kPeer.size()), 1, UINT32_MAX);
+    if (id) {
+      PeerSettings& peer = settings.peers[static_cast<std::uint32_t>(*id)];
+      peer.id = static_cast<std::uint32_t>(*id);
+      return PeerSetters(peer);
+    }
+  }
+  if (section.starts_with(kOperator)) {
+    const std::string name = section.substr(kOperator.size());
+    return {{"public_key", KeySetter(settings.security.operators[name])}};
+  }
+  return {};
+}
+
+int TakeValue(void* user, const char* section, const char* name,
+              const char* value) {
+  auto& parser = *static_cast<Parser*>(user);
+  const Setters setters = SettersOf(parser, section);
+  if (setters.empty()) {
+    Report(parser, "[" + std::string(section) + "]",
+           "[instance], [security], [peer.ID] or [operator.NAME]");
+    return 1;
+  }
+  const auto setter = setters.find(name);
+  if (setter == setters.end()) {
+    std::string known;
+    for (const auto& [key, unused] : setters) {
+      known += (known.empty() ? "" : ", ") + key;
+    }
+    Report(parser, name, "one of " + known);
+    return 1;
+  }
+  if (!parser.seen.insert(std::string(section) + "." + name).second) {
+    Report(parser, name, "each key once in its section");
+    return 1;
+  }
+  setter->second(parser, value);
+  return 1;
+}
+
+void Require(Parser& parser, bool present, const std::string& key,
+             const std::string& expected) {
+  if (!present) {
+    Report(parser, key, expected);
+  }
+}
+
+void CheckPeers(Parser& parser) {
+  const Settings& settings = parser.result.settings;
+  for (const auto& [id, peer] : settings.peers) {
+    const std::string section = "[peer." + std::to_string(id) + "]";
+    Require(parser, id != settings.id, section, "another id than its own");
+    Require(parser, peer.address.port != 0, section, "address = IP:PORT");
+    Require(parser, peer.roles.entry || peer.roles.control, section,
+            "roles = entry, control, or both");
+    Require(parser, !peer.data_centre.empty(), section, "data_centre = NAME");
+    Require(parser, !settings.security.curve || !peer.public_key.empty(),
+            section, "public_key = KEY, as [security] mode is curve");
+  }
+}
+
+/// Reports what is missing from the file as a whole.
+void CheckWhole(Parser& parser) {
+  const Settings& settings = parser.result.settings;
+  parser.line = 0;
+  Require(parser, settings.id != 0, "[instance]", "id = NUMBER");
+  Require(parser, !settings.data_centre.empty(), "[instance]",
+          "data_centre = NAME");
+  Require(parser, settings.roles.entry || settings.roles.control, "[instance]",
+          "roles = entry, control, or both");
+  Require(parser, settings.control_address.port != 0, "[instance]",
+          "control_address = IP:PORT");
+  Require(parser, !settings.roles.control || !settings.data_folder.empty(),
+          "[instance]", "data_folder = PATH, as its roles include control");
+  Require(parser, !settings.roles.entry || settings.http_address.port != 0,
+          "[instance]", "http_address = IP:PORT, as its roles include entry");
+  Require(parser, !settings.roles.entry || settings.announce_address.port != 0,
+          "[instance]",
+          "announce_address = IP:PORT, as its roles include entry");
+  Require(parser, !settings.roles.entry || settings.packet_address.port != 0,
+          "[instance]", "packet_address = IP:PORT, as its roles include entry");
+  Require(
+      parser,
+      !settings.security.curve || !settings.security.secret_key_file.empty(),
+      "[security]", "secret_key_file = PATH, or mode = none");
+  CheckPeers(parser);
+}
+
+}  // namespace
+
+ParsedSettings ParseSettings(const std::string& text,
+                             const std::string& file_name) {
+  Parser parser{.file = file_name, .unread = text};
+  const int bad_line = ini_parse_stream(ReadLine, &parser, TakeValue, &parser);
+  if (bad_line > 0) {
+    parser.line = bad_line;
+    Report(parser, "line " + std::to_string(bad_line),
+           "[section], key = value, or a comment");
+  }
+  CheckWhole(parser);
+  return std::move(parser.result);
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/ControlStore.cc
@@ -0,0 +1,282 @@
+#include "Shell/ControlStore.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+#include "Base/Hash.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr char kLogName[] = "/control.log";
+constexpr char kLockName[] = "/lock";
+constexpr std::size_t kFrameBytes = 16;  // length, its check, body checksum
+constexpr std::uint32_t kLongestRecord = 256U << 20U;
+constexpr std::size_t kLeastLogBytes = 64 * 1024;
+constexpr std::size_t kLogGrowthFactor = 4;
+
+struct Frame {
+  std::uint32_t length = 0;
+  std::uint32_t length_check = 0;
+  std::uint64_t checksum = 0;
+};
+
+std::uint32_t CheckOfLength(std::uint32_t length) {
+  return static_cast<std::uint32_t>(MixHash(length, kFrameBytes));
+}
+
+Frame ReadFrame(const char* at) {
+  Frame frame;
+  std::memcpy(&frame.length, at, 4);
+  std::memcpy(&frame.length_check, at + 4, 4);
+  std::memcpy(&frame.checksum, at + 8, 8);
+  return frame;
+}
+
+bool OnlyZeros(std::string_view bytes) {
+  return bytes.find_first_not_of('\0') == std::string_view::npos;
+}
+
+bool WriteAll(int fd, const std::string& bytes) {
+  std::size_t written = 0;
+  while (written < bytes.size()) {
+    const ssize_t count =
+        write(fd, bytes.data() + written, bytes.size() - written);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      return false;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  return true;
+}
+
+bool SyncFolder(const std::string& folder) {
+  const int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) {
+    return false;
+  }
+  const bool synced = fsync(fd) == 0;
+  close(fd);
+  return synced;
+}
+
+StoreFailure Failure(StoreError error, const std::string& what) {
+  return StoreFailure{.error = error,
+                      .detail = what + ": " + std::strerror(errno)};
+}
+
+/// Writes `bytes` beside `path`, syncs, and renames. Gives the new file's
+/// descriptor, opened for appending.
+StoreResult<int> ReplaceFile(const std::string& path,
+                             const std::string& bytes) {
+  const std::string fresh = path + ".new";
+  const int fd =
+      open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC,
+           S_IRUSR | S_IWUSR);
+  if (fd < 0) {
+    return Failure(StoreError::kOpenFailed, fresh);
+  }
+  if (!WriteAll(fd, bytes)) {
+    close(fd);
+    return Failure(StoreError::kWriteFailed, fresh);
+  }
+  const std::string folder = std::filesystem::path(path).parent_path();
+  if (fsync(fd) != 0 || rename(fresh.c_str(), path.c_str()) != 0 ||
+      !SyncFolder(folder)) {
+    close(fd);
+    return Failure(StoreError::kSyncFailed, fresh);
+  }
+  return fd;
+}
+
+}  // namespace
+
+std::string EncodeRecord(const wire::DurableRecord& record) {
+  const std::string body = record.SerializeAsString();
+  const auto length = static_cast<std::uint32_t>(body.size());
+  const std::uint32_t check = CheckOfLength(length);
+  const std::uint64_t checksum = Hash64(body);
+  std::string bytes(kFrameBytes, '\0');
+  std::memcpy(bytes.data(), &length, 4);
+  std::memcpy(bytes.data() + 4, &check, 4);
+  std::memcpy(bytes.data() + 8, &checksum, 8);
+  return bytes + body;
+}
+
+StoreResult<LogContents> DecodeLog(const std::string& bytes) {
+  LogContents contents;
+  std::size_t offset = 0;
+  const auto corrupt = [&](const std::string& what) {
+    return StoreFailure{.error = StoreError::kCorrupt,
+                        .detail = what + " at byte " + std::to_string(offset)};
+  };
+  while (offset < bytes.size()) {
+    const std::string_view rest = std::string_view(bytes).substr(offset);
+    if (rest.size() < kFrameBytes || OnlyZeros(rest)) {
+      contents.tail_cut = true;
+      break;
+    }
+    const Frame frame = ReadFrame(rest.data());
+    if (frame.length_check != CheckOfLength(frame.length) ||
+        frame.length > kLongestRecord) {
+      return corrupt("a length that fails its check");
+    }
+    if (rest.size() - kFrameBytes < frame.length) {
+      contents.tail_cut = true;
+      break;
+    }
+    const std::string_view body = rest.substr(kFrameBytes, frame.length);
+    wire::DurableRecord record;
+    const bool whole =
+        Hash64(body) == frame.checksum &&
+        record.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    if (!whole) {
+      const std::size_t half = kFrameBytes + frame.length / 2;
+      const bool last = rest.size() == kFrameBytes + frame.length;
+      if (last && OnlyZeros(rest.substr(half))) {
+        contents.tail_cut = true;
+        break;
+      }
+      return corrupt("a record that fails its checksum");
+    }
+    contents.records.push_back(std::move(record));
+    offset += kFrameBytes + frame.length;
+  }
+  contents.valid_bytes = offset;
+  return contents;
+}
+
+ControlStore::~ControlStore() {
+  if (this->fd >= 0) {
+    close(this->fd);
+  }
+  if (this->lock_fd >= 0) {
+    close(this->lock_fd);
+  }
+}
+
+StoreResult<void> ControlStore::Fail(StoreError error,
+                                     const std::string& what) {
+  this->failed = true;
+  return Failure(error, what);
+}
+
+StoreResult<LogContents> ControlStore::Open(const std::string& path) {
+  this->folder = path;
+  const std::string lock = path + kLockName;
+  this->lock_fd =
+      open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, S_IRUSR | S_IWUSR);
+  if (this->lock_fd < 0) {
+    return Failure(StoreError::kOpenFailed, lock);
+  }
+  if (flock(this->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+    return Failure(StoreError::kLocked, lock + " is held by another process");
+  }
+  const std::string log = path + kLogName;
+  std::string bytes;
+  if (std::filesystem::exists(log)) {
+    auto loaded = LoadFile(log);
+    if (!loaded) {
+      return loaded.error();
+    }
+    bytes = std::move(loaded.value());
+  }
+  auto contents = DecodeLog(bytes);
+  if (!contents) {
+    return contents.error();
+  }
+  this->fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                  S_IRUSR | S_IWUSR);
+  if (this->fd < 0) {
+    return Failure(StoreError::kOpenFailed, log);
+  }
+  const auto valid = static_cast<off_t>(contents.value().valid_bytes);
+  if (ftruncate(this->fd, valid) != 0 || fsync(this->fd) != 0 ||
+      !SyncFolder(path)) {
+    return Failure(StoreError::kSyncFailed, log);
+  }
+  this->bytes = contents.value().valid_bytes;
+  this->snapshot_bytes = 0;
+  return contents;
+}
+
+StoreResult<void> ControlStore::Append(const wire::DurableRecord& record) {
+  if (this->failed) {
+    return Failure(StoreError::kWriteFailed, "the log failed before");
+  }
+  const std::string encoded = EncodeRecord(record);
+  if (!WriteAll(this->fd, encoded)) {
+    return this->Fail(StoreError::kWriteFailed, this->folder + kLogName);
+  }
+  if (fdatasync(this->fd) != 0) {
+    return this->Fail(StoreError::kSyncFailed, this->folder + kLogName);
+  }
+  this->bytes += encoded.size();
+  return boost::outcome_v2::success();
+}
+
+bool ControlStore::WantsSnapshot() const {
+  return this->bytes > kLeastLogBytes + this->snapshot_bytes * kLogGrowthFactor;
+}
+
+StoreResult<void> ControlStore::Replace(const wire::DurableRecord& full) {
+  if (this->failed) {
+    return Failure(StoreError::kWriteFailed, "the log failed before");
+  }
+  const std::string encoded = EncodeRecord(full);
+  auto fresh = ReplaceFile(this->folder + kLogName, encoded);
+  if (!fresh) {
+    this->failed = true;
+    return fresh.error();
+  }
+  close(this->fd);
+  this->fd = fresh.value();
+  this->bytes = encoded.size();
+  this->snapshot_bytes = encoded.size();
+  return boost::outcome_v2::success();
+}
+
+StoreResult<void> SaveFile(const std::string& path, const std::string& bytes) {
+  auto fresh = ReplaceFile(path, bytes);
+  if (!fresh) {
+    return fresh.error();
+  }
+  close(fresh.value());
+  return boost::outcome_v2::success();
+}
+
+StoreResult<std::string> LoadFile(const std::string& path) {
+  const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) {
+    return Failure(StoreError::kOpenFailed, path);
+  }
+  std::string bytes;
+  std::string chunk(1U << 16U, '\0');
+  while (true) {
+    const ssize_t count = read(fd, chunk.data(), chunk.size());
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      close(fd);
+      return Failure(StoreError::kReadFailed, path);
+    }
+    if (count == 0) {
+      close(fd);
+      return bytes;
+    }
+    bytes.append(chunk, 0, static_cast<std::size_t>(count));
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/Log.cc
@@ -0,0 +1,76 @@
+#include "Shell/Log.h"
+
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <chrono>
+#include <iostream>
+#include <map>
+
+namespace filbertwall {
+namespace {
+
+constexpr std::uint32_t kRecordsPerSecond = 20;
+
+struct EventRate {
+  std::chrono::steady_clock::time_point second_started;
+  std::uint32_t written = 0;
+  std::uint64_t suppressed = 0;
+};
+
+std::uint32_t g_instance = 0;
+
+boost::log::sources::severity_logger<int>& Logger() {
+  static boost::log::sources::severity_logger<int> logger;
+  return logger;
+}
+
+const char* SeverityName(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "";
+}
+
+void Emit(EventId id, Severity severity, const std::string& text) {
+  BOOST_LOG_SEV(Logger(), static_cast<int>(severity))
+      << "FW-" << static_cast<int>(id) << " " << SeverityName(severity)
+      << " instance=" << g_instance << " " << text;
+}
+
+}  // namespace
+
+void StartLog(std::uint32_t instance) {
+  g_instance = instance;
+  boost::log::add_common_attributes();
+  boost::log::add_console_log(
+      std::cerr, boost::log::keywords::format = "%TimeStamp% %Message%",
+      boost::log::keywords::auto_flush = true);
+}
+
+void WriteLog(const LogRecord& record) {
+  static std::map<EventId, EventRate> rates;
+  EventRate& rate = rates[record.id];
+  const auto now = std::chrono::steady_clock::now();
+  if (now - rate.second_started >= std::chrono::seconds(1)) {
+    if (rate.suppressed > 0) {
+      Emit(record.id, record.severity,
+           std::to_string(rate.suppressed) + " more such records");
+    }
+    rate = EventRate{.second_started = now};
+  }
+  if (rate.written >= kRecordsPerSecond) {
+    rate.suppressed += 1;
+    return;
+  }
+  rate.written += 1;
+  Emit(record.id, record.severity, record.text);
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/Messenger.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <event2/event.h>
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <zmq.hpp>
+
+#include "Settings/Settings.h"
+#include "Shell/Keys.h"
+#include "Wire/wire.pb.h"
+
+/// Messages between instances, and from operators, over ZeroMQ.
+namespace filbertwall {
+
+/// Holds one listening socket and one connection to each other instance. Must
+/// be used on the loop's thread only.
+class Messenger {
+ public:
+  Messenger(event_base* base, const Settings& settings, const KeyPair& keys);
+  ~Messenger();
+  Messenger(const Messenger&) = delete;
+  Messenger& operator=(const Messenger&) = delete;
+
+  /// Emitted for each valid message; the client is empty for instances.
+  sigc::signal<void(std::string client, wire::Envelope envelope)> on_message;
+
+  /// Emitted for each message that could not be decoded or was forged.
+  sigc::signal<void()> on_malformed;
+
+  /// Binds and connects. Gives an error text, empty on success.
+  std::string Start();
+
+  /// Hands a message to the transport; it may be lost.
+  void Send(std::uint32_t to, const wire::Envelope& envelope);
+  void Reply(const std::string& client, const wire::Envelope& envelope);
+
+  /// Takes all waiting messages. The descriptor is edge-triggered, so this is
+  /// also needed after sends.
+  void Drain();
+
+  /// Bytes handed to the transport, by message kind.
+  const std::map<std::string, std::uint64_t>& BytesSent() const;
+
+ private:
+  void StartAuthentication();
+  void DrainAuthentication();
+  void DrainRouter();
+  void TakeMessage(const std::string& identity, zmq::message_t& message);
+  void Watch(zmq::socket_t& socket);
+  void ApplyLimits(zmq::socket_t& socket) const;
+  static void OnReadable(evutil_socket_t fd, short what, void* self);
+
+  event_base* base;
+  const Settings& settings;
+  KeyPair keys;
+  std::map<std::string, std::string> allowed;
+  zmq::context_t context;
+  zmq::socket_t router;
+  zmq::socket_t authenticator;
+  std::map<std::uint32_t, zmq::socket_t> peers;
+  std::vector<event*> events;
+  std::map<std::string, std::uint64_t> bytes_sent;
+};
+
+/// One request of an operator and its answer, or an empty envelope after the
+/// limit. Blocks; for the command line only.
+wire::Envelope Ask(const std::string& address, const std::string& server_key,
+                   const KeyPair& keys, const wire::Envelope& request,
+                   Milliseconds limit);
+
+}  // namespace filbertwall
