--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -41,7 +41,7 @@
   SendHellos(turn);
   ConfirmRules(turn);
   PullRecords(turn);
-  ExpireSubmitters(turn);
+  StepSubmissions(turn);
   RunRequests(turn, RequestTick{});
   if (turn.now >= node.housekeeping_at) {
     node.housekeeping_at = turn.now + kHousekeepingInterval;
@@ -173,7 +173,7 @@
     TakeRules(this->turn, this->turn.node.replica.committed.rules());
   }
   void operator()(const ControlVerdict& effect) {
-    AnswerSubmitter(this->turn, effect.token, effect.verdict, effect.reason);
+    TakeVerdict(this->turn, effect.token, effect.verdict, effect.reason);
   }
 };
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -42,7 +42,17 @@
   std::string client;  ///< Of this process; empty for another instance.
   std::uint32_t peer = 0;
   std::uint64_t request = 0;
+};
+
+/// A change that waits for its verdict. It is tried again until it expires,
+/// which is safe because a second try gets the first one's verdict.
+struct Submission {
+  Submitter submitter;
+  wire::Change change;
   TimePoint expires_at;
+  TimePoint next_try_at;
+  bool in_replica = false;
+  std::string last_reason;
 };
 
 struct Node {
@@ -64,7 +74,7 @@
   Directory directory;
   OrderLog orders;
   RequestTier requests;
-  std::map<std::uint64_t, Submitter> submitters;
+  std::map<std::uint64_t, Submission> submissions;  ///< By token.
   std::uint64_t next_token = 1;
   std::uint32_t known_leader = 0;
   std::map<std::string, std::uint64_t> counters;
--- a/Source/Node/NodeOperator.cc
+++ b/Source/Node/NodeOperator.cc
@@ -24,35 +24,65 @@
                                             .envelope = std::move(envelope)});
 }
 
-std::uint64_t Remember(NodeTurn& turn, Submitter submitter) {
-  const std::uint64_t token = turn.node.next_token++;
-  submitter.expires_at = turn.now + kSubmitLimit;
-  turn.node.submitters[token] = submitter;
-  return token;
-}
-
-/// Hands the file to the leader; the verdict comes back by the token.
-void ForwardToLeader(NodeTurn& turn, const Submitter& submitter,
-                     const wire::RulesFile& file) {
-  const Node& node = turn.node;
-  std::uint32_t leader = node.known_leader;
+std::uint32_t LeaderKnownTo(const Node& node) {
   if (node.has_replica && node.replica.leader != 0) {
-    leader = node.replica.leader;
+    return node.replica.leader;
   }
-  const bool forwarded_before = submitter.client.empty();
-  if (leader == 0 || leader == node.settings.id || forwarded_before) {
-    Reply(turn, submitter, wire::UNKNOWN,
-          "no leader with a majority is known here; nothing was recorded by "
-          "this instance");
+  return node.known_leader;
+}
+
+void ForwardToLeader(NodeTurn& turn, std::uint64_t token,
+                     Submission& submission) {
+  const std::uint32_t leader = LeaderKnownTo(turn.node);
+  const bool forwarded_before = submission.submitter.client.empty();
+  if (leader == 0 || leader == turn.node.settings.id || forwarded_before) {
+    submission.last_reason =
+        "no leader with a majority is known here; nothing was recorded by "
+        "this instance";
     return;
   }
   wire::Envelope envelope;
   wire::Submit& submit = *envelope.mutable_submit();
-  submit.set_request(Remember(turn, submitter));
-  *submit.mutable_rules() = file;
+  submit.set_request(token);
+  *submit.mutable_rules() = submission.change.rules();
   SendPeer(turn, leader, std::move(envelope));
 }
 
+void TrySubmission(NodeTurn& turn, std::uint64_t token) {
+  constexpr Milliseconds kTryInterval{300};
+  Node& node = turn.node;
+  Submission& submission = node.submissions.at(token);
+  submission.next_try_at = turn.now + kTryInterval;
+  const bool leads =
+      node.has_replica && node.replica.role == ReplicaRole::kLeader;
+  if (!leads) {
+    ForwardToLeader(turn, token, submission);
+    return;
+  }
+  submission.in_replica = true;
+  RunReplica(turn,
+             ControlSubmitted{.token = token, .change = submission.change});
+}
+
+void StartSubmission(NodeTurn& turn, const Submitter& submitter,
+                     const wire::Change& change) {
+  const std::uint64_t token = turn.node.next_token++;
+  turn.node.submissions[token] =
+      Submission{.submitter = submitter,
+                 .change = change,
+                 .expires_at = turn.now + kSubmitLimit,
+                 .last_reason = "no majority answered in time"};
+  TrySubmission(turn, token);
+}
+
+void EndSubmission(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
+                   const std::string& reason) {
+  const Submitter submitter = turn.node.submissions.at(token).submitter;
+  turn.node.submissions.erase(token);
+  Log(turn, EventId::kSubmission, wire::Verdict_Name(verdict) + ": " + reason);
+  Reply(turn, submitter, verdict, reason);
+}
+
 /// Answers from committed history, which every control instance may do.
 bool AnswerFromHistory(NodeTurn& turn, const Submitter& submitter,
                        const wire::RulesFile& file) {
@@ -108,7 +138,6 @@
 
 void HandleSubmit(NodeTurn& turn, const Submitter& submitter,
                   const wire::Submit& submit) {
-  Node& node = turn.node;
   wire::RulesFile file = submit.rules();
   const ParsedRules parsed = ParseRules(file.text(), "rules");
   if (!parsed.findings.empty()) {
@@ -120,17 +149,13 @@
   if (AnswerFromHistory(turn, submitter, file)) {
     return;
   }
-  if (!node.has_replica || node.replica.role != ReplicaRole::kLeader) {
-    ForwardToLeader(turn, submitter, file);
-    return;
-  }
-  ControlSubmitted event{.token = Remember(turn, submitter)};
-  *event.change.mutable_rules() = file;
-  RunReplica(turn, event);
+  wire::Change change;
+  *change.mutable_rules() = file;
+  StartSubmission(turn, submitter, change);
 }
 
 void HandleSubmitReply(NodeTurn& turn, const wire::SubmitReply& reply) {
-  AnswerSubmitter(turn, reply.request(), reply.verdict(), reply.reason());
+  TakeVerdict(turn, reply.request(), reply.verdict(), reply.reason());
 }
 
 void HandleRemoveMember(NodeTurn& turn, const Submitter& submitter,
@@ -150,32 +175,41 @@
     Reply(turn, submitter, wire::REFUSED, "no such voter");
     return;
   }
-  ControlSubmitted event{.token = Remember(turn, submitter)};
-  event.change.mutable_member()->set_instance(remove.instance());
-  RunReplica(turn, event);
+  wire::Change change;
+  change.mutable_member()->set_instance(remove.instance());
+  StartSubmission(turn, submitter, change);
 }
 
-void AnswerSubmitter(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
-                     const std::string& reason) {
-  const auto found = turn.node.submitters.find(token);
-  if (found == turn.node.submitters.end()) {
+void TakeVerdict(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
+                 const std::string& reason) {
+  const auto found = turn.node.submissions.find(token);
+  if (found == turn.node.submissions.end()) {
     return;
   }
-  const Submitter submitter = found->second;
-  turn.node.submitters.erase(found);
-  Log(turn, EventId::kSubmission, wire::Verdict_Name(verdict) + ": " + reason);
-  Reply(turn, submitter, verdict, reason);
+  if (verdict != wire::UNKNOWN) {
+    EndSubmission(turn, token, verdict, reason);
+    return;
+  }
+  found->second.in_replica = false;
+  found->second.last_reason = reason;
 }
 
-void ExpireSubmitters(NodeTurn& turn) {
+void StepSubmissions(NodeTurn& turn) {
+  std::vector<std::uint64_t> due;
   std::vector<std::uint64_t> expired;
-  for (const auto& [token, submitter] : turn.node.submitters) {
-    if (turn.now >= submitter.expires_at) {
+  for (const auto& [token, submission] : turn.node.submissions) {
+    if (turn.now >= submission.expires_at) {
       expired.push_back(token);
+    } else if (turn.now >= submission.next_try_at && !submission.in_replica) {
+      due.push_back(token);
     }
   }
   for (const std::uint64_t token : expired) {
-    AnswerSubmitter(turn, token, wire::UNKNOWN, "no majority answered in time");
+    const std::string reason = turn.node.submissions.at(token).last_reason;
+    EndSubmission(turn, token, wire::UNKNOWN, reason);
+  }
+  for (const std::uint64_t token : due) {
+    TrySubmission(turn, token);
   }
 }
 
--- a/Source/Node/NodeTurn.h
+++ b/Source/Node/NodeTurn.h
@@ -47,9 +47,11 @@
 void HandleSubmitReply(NodeTurn& turn, const wire::SubmitReply& reply);
 void HandleRemoveMember(NodeTurn& turn, const Submitter& submitter,
                         const wire::RemoveMember& remove);
-void AnswerSubmitter(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
-                     const std::string& reason);
-void ExpireSubmitters(NodeTurn& turn);
+/// Passes a verdict on; "unknown" only once the submission has expired.
+void TakeVerdict(NodeTurn& turn, std::uint64_t token, wire::Verdict verdict,
+                 const std::string& reason);
+/// Tries pending submissions again, and gives up on those that expired.
+void StepSubmissions(NodeTurn& turn);
 void HandleOperator(NodeTurn& turn, const MessageArrived& event);
 
 }  // namespace filbertwall
