--- a/Source/Base/Text.cc
+++ b/Source/Base/Text.cc
@@ -18,7 +18,7 @@
 }
 
 std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text) {
-  constexpr std::uint64_t kLongestMs = 3600 * 1000;
+  constexpr std::uint64_t kLongestMs = 3600UL * 1000UL;
   std::uint64_t unit_ms = 0;
   if (text.ends_with("ms")) {
     unit_ms = 1;
--- a/Source/Requests/OrderLog.cc
+++ b/Source/Requests/OrderLog.cc
@@ -3,7 +3,7 @@
 namespace filbertwall {
 namespace {
 
-constexpr std::size_t kPageBytes = 256 * 1024;
+constexpr std::size_t kPageBytes = 256UL * 1024UL;
 
 /// Whether `claim` opens a new generation of an order known as not run.
 bool OpensGeneration(const wire::OrderRecord& claim,
--- a/Source/Requests/RequestTier.cc
+++ b/Source/Requests/RequestTier.cc
@@ -12,7 +12,7 @@
 constexpr int kStatusNotRun = 503;
 constexpr int kStatusUnknown = 504;
 constexpr std::size_t kLongestKey = 256;
-constexpr std::size_t kLargestRememberedBody = 64 * 1024;
+constexpr std::size_t kLargestRememberedBody = 64UL * 1024UL;
 
 std::string HeaderOf(const HttpRequest& request, std::string_view name) {
   for (const wire::HeaderField& field : request.headers) {
--- a/Source/Shell/ControlStore.cc
+++ b/Source/Shell/ControlStore.cc
@@ -19,7 +19,7 @@
 constexpr char kLockName[] = "/lock";
 constexpr std::size_t kFrameBytes = 16;  // length, its check, body checksum
 constexpr std::uint32_t kLongestRecord = 256U << 20U;
-constexpr std::size_t kLeastLogBytes = 64 * 1024;
+constexpr std::size_t kLeastLogBytes = 64UL * 1024UL;
 constexpr std::size_t kLogGrowthFactor = 4;
 
 struct Frame {
--- a/Source/Shell/HttpClient.cc
+++ b/Source/Shell/HttpClient.cc
@@ -94,10 +94,10 @@
   } else if (!answered && attempt.bytes_sent == 0) {
     result.kind = AttemptResult::Kind::kNotSent;
   }
-  attempt.client->Finish(attempt, std::move(result));
+  attempt.client->Finish(attempt, result);
 }
 
-void HttpClient::Finish(Attempt& attempt, AttemptResult result) {
+void HttpClient::Finish(Attempt& attempt, const AttemptResult& result) {
   const std::uint64_t id = attempt.id;
   // The library is still using the connection while it calls back.
   bufferevent* stream = evhttp_connection_get_bufferevent(attempt.connection);
@@ -106,7 +106,7 @@
   this->finished.push_back(attempt.connection);
   event_active(this->free_event, 0, 0);
   this->attempts.erase(id);
-  this->on_ended.emit(id, std::move(result));
+  this->on_ended.emit(id, result);
 }
 
 void HttpClient::FreeConnections(evutil_socket_t, short, void* self) {
--- a/Source/Shell/HttpClient.h
+++ b/Source/Shell/HttpClient.h
@@ -43,7 +43,7 @@
   static void OnOutput(evbuffer* buffer, const evbuffer_cb_info* info,
                        void* attempt);
   static void FreeConnections(evutil_socket_t fd, short what, void* self);
-  void Finish(Attempt& attempt, AttemptResult result);
+  void Finish(Attempt& attempt, const AttemptResult& result);
 
   event_base* base;
   event* free_event;
--- a/Source/Shell/Messenger.cc
+++ b/Source/Shell/Messenger.cc
@@ -210,7 +210,7 @@
       return;
     }
   }
-  this->on_message.emit(is_operator ? identity : "", std::move(envelope));
+  this->on_message.emit(is_operator ? identity : "", envelope);
 }
 
 wire::Envelope Ask(const std::string& address, const std::string& server_key,
