Flows: Give each flow an owner among the instances

Cause: packets had no path yet. Each flow has an owner by rendezvous hashing over the live instances; a packet that an instance does not know is handed to it on the data path, and the owner answers with the flow's backend server. Also: a recorder of orders vouches for each key by itself (OrderLog). Before, two instances restarted within 2.5 s of each other stayed amnesiac for the whole retention, since each waited for the other.

--- /dev/null
+++ b/Source/Flows/FlowChoice.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "Base/Hash.h"
+#include "Flows/FlowTier.h"
+
+/// Choices by hash: the owner of a flow, and the backend server of a new one.
+namespace filbertwall {
+namespace {
+
+/// Weighted rendezvous hashing: the candidate with the highest score wins, and
+/// a change of one weight moves only the flows that it must.
+double Score(std::uint64_t flow_hash, const Endpoint& backend,
+             std::uint32_t weight) {
+  const std::uint64_t identity =
+      static_cast<std::uint64_t>(backend.ip) << 16 | backend.port;
+  const std::uint64_t hash = MixHash(flow_hash, identity);
+  const double unit = (static_cast<double>(hash >> 11) + 0.5) / 0x1p53;
+  return -static_cast<double>(weight) / std::log(unit);
+}
+
+double FlowsPerWeight(const FlowTier& tier, const Endpoint& backend,
+                      std::uint32_t weight) {
+  const auto index = tier.backend_index.find(backend);
+  const std::uint64_t flows = index == tier.backend_index.end()
+                                  ? 0
+                                  : tier.flows_of_backend[index->second];
+  return static_cast<double>(flows) / std::max(weight, 1U);
+}
+
+/// The two best candidates of a flow.
+struct BestTwo {
+  const Backend* first = nullptr;
+  const Backend* second = nullptr;
+};
+
+BestTwo FindBestTwo(const std::vector<const Backend*>& candidates,
+                    const Rules& rules, const std::string& service,
+                    std::uint64_t flow_hash) {
+  BestTwo best;
+  double first_score = -std::numeric_limits<double>::infinity();
+  double second_score = first_score;
+  for (const Backend* backend : candidates) {
+    const double score = Score(flow_hash, backend->address,
+                               WeightOf(rules, service, backend->address));
+    if (score > first_score) {
+      best.second = best.first;
+      second_score = first_score;
+      best.first = backend;
+      first_score = score;
+    } else if (score > second_score) {
+      best.second = backend;
+      second_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::vector<std::uint32_t> OwnersOf(const FlowTier& tier,
+                                    const std::set<std::uint32_t>& silent,
+                                    const FlowKey& key) {
+  const std::uint64_t hash = HashFlow(key);
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked = {
+      {MixHash(hash, tier.self), tier.self}};
+  for (const auto& [instance, address] : tier.packet_addresses) {
+    if (!silent.contains(instance)) {
+      ranked.emplace_back(MixHash(hash, instance), instance);
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<std::uint32_t> owners;
+  owners.reserve(ranked.size());
+  for (const auto& [score, instance] : ranked) {
+    owners.push_back(instance);
+  }
+  return owners;
+}
+
+std::optional<Endpoint> ChooseForFlow(const FlowTier& tier,
+                                      const FlowContext& context,
+                                      const ServiceRule& service,
+                                      const FlowKey& key) {
+  const std::vector<const Backend*> candidates = CandidatesFor(
+      context.directory, context.rules, service.name, context.now);
+  const BestTwo best =
+      FindBestTwo(candidates, context.rules, service.name, HashFlow(key));
+  if (best.first == nullptr) {
+    return std::nullopt;
+  }
+  if (service.preference == Preference::kStability || best.second == nullptr) {
+    return best.first->address;
+  }
+  const auto load = [&](const Backend* backend) {
+    return FlowsPerWeight(
+        tier, backend->address,
+        WeightOf(context.rules, service.name, backend->address));
+  };
+  return load(best.second) < load(best.first) ? best.second->address
+                                              : best.first->address;
+}
+
+}  // namespace filbertwall
--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -22,10 +22,28 @@
   }
 }
 
+/// The others and the fabric get this long to learn that it stops.
+constexpr Milliseconds kLeastDrain{1500};
+
+void RunFlows(NodeTurn& turn, const FlowEvent& event) {
+  Node& node = turn.node;
+  FlowEffects effects = Reduce(node.flows, event,
+                               FlowContext{.rules = node.rules,
+                                           .directory = node.directory,
+                                           .silent = node.silent,
+                                           .now = turn.now});
+  if (!effects.forwarded.empty() || !effects.datagrams.empty()) {
+    turn.effects.emplace_back(std::move(effects));
+  }
+}
+
 void EndStop(NodeTurn& turn) {
   const Node& node = turn.node;
-  const bool idle = node.requests.open.empty();
+  const TimePoint least_end =
+      node.stop_at - node.settings.drain_limit + kLeastDrain;
+  const bool idle = node.requests.open.empty() && turn.now >= least_end;
   if (node.stopping && (idle || turn.now >= node.stop_at)) {
+    RunFlows(turn, FlowHandover{});
     Log(turn, EventId::kStopped,
         std::to_string(node.requests.open.size()) + " requests cut");
     turn.effects.emplace_back(Stopped{});
@@ -43,6 +61,7 @@
   PullRecords(turn);
   StepSubmissions(turn);
   RunRequests(turn, RequestTick{});
+  RunFlows(turn, FlowTick{});
   if (turn.now >= node.housekeeping_at) {
     node.housekeeping_at = turn.now + kHousekeepingInterval;
     ForgetSilent(node.directory, turn.now);
@@ -116,6 +135,7 @@
       std::to_string(node.requests.open.size()) + " requests in flight");
   node.hello_at = turn.now;
   SendHellos(turn);
+  RunFlows(turn, FlowHandover{});
 }
 
 struct EventVisitor {
@@ -155,6 +175,14 @@
     this->turn.effects.emplace_back(
         AnswerCaller{.id = event.id, .answer = answer});
   }
+  void operator()(const PacketsArrived& event) {
+    Node& node = this->turn.node;
+    if (node.serving) {
+      RunFlows(this->turn, event);
+    } else {
+      node.flows.counters["not_serving"] += event.datagrams.size();
+    }
+  }
   void operator()(const CallerLeft& event) { RunRequests(this->turn, event); }
   void operator()(const AttemptEnded& event) { RunRequests(this->turn, event); }
 };
@@ -298,6 +326,8 @@
   node.directory.data_centre = settings.data_centre;
   node.directory.lease = settings.backend_lease;
   node.requests.self = settings.id;
+  node.flows.self = settings.id;
+  node.flows.limit = settings.flow_limit;
   node.requests.incarnation = parts.incarnation;
   node.has_replica = settings.roles.control;
   node.replica.config.self = settings.id;
@@ -314,9 +344,19 @@
       node.replica.config.control_instances.insert(id);
     }
     if (peer.roles.entry) {
+      node.flows.packet_addresses[id] = peer.packet_address;
+      node.flows.instances[peer.packet_address] = id;
       node.requests.recorder_pool.push_back(id);
     }
   }
+  node.orders.self = settings.id;
+  node.orders.pool = node.requests.recorder_pool;
+  node.orders.retention = settings.order_memory;
+  for (const std::uint32_t instance : node.orders.pool) {
+    if (instance != settings.id) {
+      node.orders.unsure_with.insert(instance);
+    }
+  }
   for (const wire::DurableRecord& record : parts.control_log) {
     Restore(node.replica, record);
   }
@@ -373,7 +413,7 @@
   }
   dump.set_requests_open(node.requests.open.size());
   dump.set_order_records(node.orders.records.size());
-  dump.set_order_amnesia(node.orders.amnesiac);
+  dump.set_order_amnesia(!node.orders.unsure_with.empty());
   auto& counters = *dump.mutable_counters();
   for (const auto& [name, count] : node.counters) {
     counters[name] = count;
@@ -381,6 +421,13 @@
   for (const auto& [name, count] : node.requests.counters) {
     counters["requests_" + name] = count;
   }
+  for (const auto& [name, count] : node.flows.counters) {
+    counters["flows_" + name] = count;
+  }
+  dump.set_flows(node.flows.table.size);
+  const auto silent = node.flows.counters.find("silent");
+  dump.set_silent_flows(silent == node.flows.counters.end() ? 0
+                                                            : silent->second);
   return dump;
 }
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -12,6 +12,7 @@
 #include "Base/Event.h"
 #include "Base/Time.h"
 #include "Control/Replica.h"
+#include "Flows/FlowTier.h"
 #include "Requests/OrderLog.h"
 #include "Requests/RequestTier.h"
 #include "Rules/Rules.h"
@@ -74,6 +75,7 @@
   Directory directory;
   OrderLog orders;
   RequestTier requests;
+  FlowTier flows;
   std::map<std::uint64_t, Submission> submissions;  ///< By token.
   std::uint64_t next_token = 1;
   std::uint32_t known_leader = 0;
@@ -96,9 +98,10 @@
   std::uint64_t id = 0;
 };
 struct StopRequested {};
-using NodeEvent = std::variant<NodeStarted, NodeTick, MessageArrived,
-                               AnnouncementArrived, HealthAsked, StopRequested,
-                               RequestArrived, CallerLeft, AttemptEnded>;
+using NodeEvent =
+    std::variant<NodeStarted, NodeTick, MessageArrived, AnnouncementArrived,
+                 HealthAsked, StopRequested, PacketsArrived, RequestArrived,
+                 CallerLeft, AttemptEnded>;
 
 struct SendToPeer {
   std::uint32_t to = 0;
@@ -126,7 +129,7 @@
 using NodeEffect =
     std::variant<SendToPeer, ReplyToOperator, PersistControl, PersistRules,
                  AnswerLocal, StartAttempt, CancelAttempt, AnswerCaller,
-                 LogRecord, Stopped>;
+                 FlowEffects, LogRecord, Stopped>;
 
 /// What a node is made from, besides what its disk remembers.
 struct NodeParts {
--- a/Source/Node/NodeOrders.cc
+++ b/Source/Node/NodeOrders.cc
@@ -16,15 +16,6 @@
   SendPeer(turn, from, std::move(envelope));
 }
 
-bool AllPulled(const Node& node) {
-  for (const auto& [id, peer] : node.peers) {
-    if (peer.settings.roles.entry && !peer.records_pulled) {
-      return false;
-    }
-  }
-  return true;
-}
-
 }  // namespace
 
 void HandleClaim(NodeTurn& turn, std::uint32_t from, const wire::Claim& claim) {
@@ -41,7 +32,7 @@
 void PullRecords(NodeTurn& turn) {
   Node& node = turn.node;
   const bool settled = turn.now - node.started_at >= kClaimsSettled;
-  if (!node.orders.amnesiac || !settled || turn.now < node.pull_at) {
+  if (node.orders.unsure_with.empty() || !settled || turn.now < node.pull_at) {
     return;
   }
   node.pull_at = turn.now + kPullPause;
@@ -63,17 +54,14 @@
 void HandleRecordsPage(NodeTurn& turn, std::uint32_t from,
                        const wire::RecordsPage& page) {
   Node& node = turn.node;
-  MergeRecords(node.orders, page, turn.now);
-  if (!page.complete()) {
-    return;
-  }
+  const bool unsure_before = !node.orders.unsure_with.empty();
+  MergeRecords(node.orders, from, page, turn.now);
   if (!page.next().empty()) {
     AskForRecords(turn, from, page.next());
     return;
   }
   node.peers.at(from).records_pulled = true;
-  if (node.orders.amnesiac && AllPulled(node)) {
-    node.orders.amnesiac = false;
+  if (unsure_before && node.orders.unsure_with.empty()) {
     Log(turn, EventId::kOrderMemoryRepaired,
         std::to_string(node.orders.records.size()) + " records");
   }
--- a/Source/Node/NodePeers.cc
+++ b/Source/Node/NodePeers.cc
@@ -70,6 +70,7 @@
                          hello.incarnation() != peer.hello.incarnation();
   if (restarted) {
     peer.hellos_in_row = 0;
+    peer.records_pulled = false;
     Log(turn, EventId::kPeerRestarted,
         "instance " + std::to_string(peer.settings.id));
   }
--- a/Source/Node/NodeRules.cc
+++ b/Source/Node/NodeRules.cc
@@ -44,8 +44,8 @@
 
 /// Nothing can have been served before the first rules file was accepted.
 void EndAmnesiaOfNewDeployment(NodeTurn& turn, std::uint64_t required) {
-  if (required == 0 && turn.node.orders.amnesiac) {
-    turn.node.orders.amnesiac = false;
+  if (required == 0 && !turn.node.orders.unsure_with.empty()) {
+    turn.node.orders.unsure_with.clear();
     Log(turn, EventId::kOrderMemoryRepaired, "no rules were ever in force");
   }
 }
--- a/Source/Requests/OrderClaim.cc
+++ b/Source/Requests/OrderClaim.cc
@@ -1,13 +1,13 @@
 #include <algorithm>
 
 #include "Base/Hash.h"
+#include "Requests/OrderLog.h"
 #include "Requests/RequestTurn.h"
 
 /// Claims: how an instance gains the sole right to dispatch an order.
 namespace filbertwall {
 namespace {
 
-constexpr std::size_t kRecordersPerKey = 3;
 constexpr Milliseconds kRecorderTimeout{150};
 constexpr Milliseconds kRetryPause{20};
 
@@ -96,18 +96,6 @@
 
 }  // namespace
 
-std::vector<std::uint32_t> RecordersOf(const std::vector<std::uint32_t>& pool,
-                                       const std::string& key) {
-  std::vector<std::uint32_t> ranked = pool;
-  const std::uint64_t key_hash = Hash64(key);
-  std::sort(ranked.begin(), ranked.end(),
-            [&](std::uint32_t left, std::uint32_t right) {
-              return MixHash(key_hash, left) > MixHash(key_hash, right);
-            });
-  ranked.resize(std::min(ranked.size(), kRecordersPerKey));
-  return ranked;
-}
-
 void StartClaim(RequestTurn& turn, OpenRequest& open) {
   ClaimState& claim = open.claim;
   const std::uint32_t tries = claim.tries + 1;
--- a/Source/Requests/OrderLog.cc
+++ b/Source/Requests/OrderLog.cc
@@ -1,8 +1,13 @@
 #include "Requests/OrderLog.h"
 
+#include <algorithm>
+
+#include "Base/Hash.h"
+
 namespace filbertwall {
 namespace {
 
+constexpr std::size_t kRecordersPerKey = 3;
 constexpr std::size_t kPageBytes = 256UL * 1024UL;
 
 /// Whether `claim` opens a new generation of an order known as not run.
@@ -29,6 +34,29 @@
 
 }  // namespace
 
+std::vector<std::uint32_t> RecordersOf(const std::vector<std::uint32_t>& pool,
+                                       const std::string& key) {
+  std::vector<std::uint32_t> ranked = pool;
+  const std::uint64_t key_hash = Hash64(key);
+  std::sort(ranked.begin(), ranked.end(),
+            [&](std::uint32_t left, std::uint32_t right) {
+              return MixHash(key_hash, left) > MixHash(key_hash, right);
+            });
+  ranked.resize(std::min(ranked.size(), kRecordersPerKey));
+  return ranked;
+}
+
+bool Vouches(const OrderLog& log, const std::string& key) {
+  if (log.unsure_with.empty()) {
+    return true;
+  }
+  const std::vector<std::uint32_t> recorders = RecordersOf(log.pool, key);
+  return std::none_of(recorders.begin(), recorders.end(),
+                      [&](std::uint32_t instance) {
+                        return log.unsure_with.contains(instance);
+                      });
+}
+
 wire::ClaimReply TakeClaim(OrderLog& log, const wire::Claim& claim,
                            TimePoint now) {
   const wire::OrderRecord& wanted = claim.record();
@@ -54,7 +82,7 @@
   }
   Store(log, wanted, now);
   reply.set_granted(true);
-  reply.set_amnesiac(log.amnesiac);
+  reply.set_amnesiac(!Vouches(log, wanted.key()));
   return reply;
 }
 
@@ -77,7 +105,8 @@
   }
 }
 
-void MergeRecords(OrderLog& log, const wire::RecordsPage& page, TimePoint now) {
+void MergeRecords(OrderLog& log, std::uint32_t from,
+                  const wire::RecordsPage& page, TimePoint now) {
   for (const wire::OrderRecord& record : page.records()) {
     const auto stored = log.records.find(record.key());
     if (stored == log.records.end() ||
@@ -85,12 +114,20 @@
       Store(log, record, now);
     }
   }
+  const auto& unsure = page.unsure_with();
+  const bool lost_at_both =
+      std::find(unsure.begin(), unsure.end(), log.self) != unsure.end();
+  if (page.next().empty() && !lost_at_both) {
+    log.unsure_with.erase(from);
+  }
 }
 
 wire::RecordsPage PageOfRecords(const OrderLog& log, const std::string& after,
                                 TimePoint now) {
   wire::RecordsPage page;
-  page.set_complete(!log.amnesiac);
+  for (const std::uint32_t instance : log.unsure_with) {
+    page.add_unsure_with(instance);
+  }
   std::size_t bytes = 0;
   for (auto item = log.records.upper_bound(after); item != log.records.end();
        ++item) {
@@ -111,8 +148,8 @@
   std::erase_if(log.records, [&](const auto& item) {
     return now - item.second.stored_at > log.retention;
   });
-  if (log.amnesiac && now - log.started_at > log.retention) {
-    log.amnesiac = false;
+  if (now - log.started_at > log.retention) {
+    log.unsure_with.clear();  // What was forgotten would have expired.
   }
 }
 
--- a/Source/Requests/RequestTier.h
+++ b/Source/Requests/RequestTier.h
@@ -160,9 +160,4 @@
 std::vector<RequestEffect> Reduce(RequestTier& tier, const RequestEvent& event,
                                   RequestContext context);
 
-/// The recorders of a key: a pure function of the configured instances, so
-/// that every instance names the same, whatever it thinks is alive.
-std::vector<std::uint32_t> RecordersOf(const std::vector<std::uint32_t>& pool,
-                                       const std::string& key);
-
 }  // namespace filbertwall
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -139,6 +139,7 @@
           {"packet_address", EndpointSetter(settings.packet_address)},
           {"drain_limit", DurationSetter(settings.drain_limit)},
           {"backend_lease", DurationSetter(settings.backend_lease)},
+          {"order_memory", DurationSetter(settings.order_memory)},
           {"flow_limit", NumberSetter(settings.flow_limit, 1)}};
 }
 
@@ -149,6 +150,7 @@
 
 Setters PeerSetters(PeerSettings& peer) {
   return {{"address", EndpointSetter(peer.address)},
+          {"packet_address", EndpointSetter(peer.packet_address)},
           {"data_centre", TextSetter(peer.data_centre)},
           {"roles", RolesSetter(peer.roles)},
           {"public_key", KeySetter(peer.public_key)}};
@@ -221,6 +223,8 @@
     Require(parser, peer.roles.entry || peer.roles.control, section,
             "roles = entry, control, or both");
     Require(parser, !peer.data_centre.empty(), section, "data_centre = NAME");
+    Require(parser, !peer.roles.entry || peer.packet_address.port != 0, section,
+            "packet_address = IP:PORT, as its roles include entry");
     Require(parser, !settings.security.curve || !peer.public_key.empty(),
             section, "public_key = KEY, as [security] mode is curve");
   }
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -19,7 +19,8 @@
 
 struct PeerSettings {
   std::uint32_t id = 0;
-  Endpoint address;  ///< Where its messages from other instances arrive.
+  Endpoint address;         ///< Where its messages from other instances arrive.
+  Endpoint packet_address;  ///< Where packets are handed to it.
   std::string data_centre;
   Roles roles;
   std::string public_key;  ///< Z85; empty without CURVE.
@@ -42,6 +43,7 @@
   Endpoint packet_address;
   Milliseconds drain_limit{30000};
   Milliseconds backend_lease{10000};
+  Milliseconds order_memory{600000};
   std::uint32_t flow_limit = 1000000;
   SecuritySettings security;
   std::map<std::uint32_t, PeerSettings> peers;
--- a/Source/Shell/Runtime.cc
+++ b/Source/Shell/Runtime.cc
@@ -19,6 +19,7 @@
 #include "Shell/HttpServer.h"
 #include "Shell/Log.h"
 #include "Shell/Messenger.h"
+#include "Shell/PacketPort.h"
 
 namespace filbertwall {
 namespace {
@@ -58,6 +59,7 @@
   void operator()(const StartAttempt& effect);
   void operator()(const CancelAttempt& effect);
   void operator()(const AnswerCaller& effect);
+  void operator()(const FlowEffects& effect);
   void operator()(const LogRecord& effect);
   void operator()(const Stopped& effect);
 
@@ -78,6 +80,7 @@
   HttpServer callers;
   HttpServer announcements;
   HttpClient client;
+  PacketPort packets;
   ControlStore store;
   Node node;
   event* tick = nullptr;
@@ -96,7 +99,8 @@
       messenger(this->base, this->settings, keys),
       callers(this->base),
       announcements(this->base),
-      client(this->base) {}
+      client(this->base),
+      packets(this->base) {}
 
 Runtime::~Runtime() {
   for (event* item : {this->tick, this->terminate, this->interrupt}) {
@@ -153,6 +157,8 @@
       error = "http_address " + FormatEndpoint(own.http_address);
     } else if (!this->announcements.Start(own.announce_address)) {
       error = "announce_address " + FormatEndpoint(own.announce_address);
+    } else if (!this->packets.Start(own.packet_address)) {
+      error = "packet_address " + FormatEndpoint(own.packet_address);
     }
   }
   if (!error.empty()) {
@@ -192,6 +198,8 @@
           (*this)(AnswerLocal{.id = id, .status = 404});
         }
       });
+  this->packets.on_packets.connect(
+      [this](const PacketsArrived& event) { this->Handle(event); });
   this->client.on_ended.connect([this](std::uint64_t attempt,
                                        AttemptResult ended) {
     this->Handle(AttemptEnded{.attempt = attempt, .result = std::move(ended)});
@@ -272,6 +280,8 @@
   };
   add("event_us", this->event_us);
   add("sync_us", this->sync_us);
+  (*dump.mutable_counters())["packets_send_failures"] =
+      this->packets.SendFailures();
   for (const auto& [kind, bytes] : this->messenger.BytesSent()) {
     (*dump.mutable_counters())["bytes_sent_" + kind] = bytes;
   }
@@ -334,6 +344,10 @@
   this->callers.Answer(effect.id, effect.answer);
 }
 
+void Runtime::operator()(const FlowEffects& effect) {
+  this->packets.Send(effect);
+}
+
 void Runtime::operator()(const LogRecord& effect) { WriteLog(effect); }
 
 void Runtime::operator()(const Stopped&) {
--- a/Tests/System/deployment.py
+++ b/Tests/System/deployment.py
@@ -19,7 +19,7 @@
 service proof protocol=packets prefer=stability  # by: Petar, product
 address 10.0.0.1:80 catalogue  # by: Ana, operations
 address 10.0.0.2:80 proof  # by: Petar, product
-request catalogue POST /orders deadline=3000ms class=bulk queue=200  # by: Petar, product
+request catalogue POST /orders deadline=1500ms class=bulk queue=200  # by: Petar, product
 request catalogue GET /stock deadline=1500ms retries=2 class=interactive queue=200  # by: Ana, operations
 """
 
@@ -91,6 +91,7 @@
             address = self.peer_address.get(other.number,
                                             other.control_address)
             lines += ["[peer.%d]" % other.number, "address = %s" % address,
+                      "packet_address = %s" % other.packet,
                       "data_centre = %s" % other.data_centre,
                       "roles = %s" % other.roles()]
             if curve:
--- a/Tests/System/requests_test.py
+++ b/Tests/System/requests_test.py
@@ -22,8 +22,10 @@
         self.backends = backends
         self.options = list(options)
         for number in range(1, instances + 1):
-            self.deployment.add(number, control=number <= 3,
-                                data_centre="dc-%d" % (1 + number // 3))
+            added = self.deployment.add(
+                number, control=number <= 3,
+                data_centre="dc-%d" % (1 + number // 3))
+            added.extra = "[instance]\norder_memory = 30s"
         if with_relay:
             self.relay = relays.Relay()
             relays.connect(self.deployment, self.relay)
@@ -170,7 +172,7 @@
     with Scenario(with_relay=True, backends=6,
                   options=["--slots", "30", "--delay", "3"]) as scenario:
         d = scenario.deployment
-        callers = Callers([i.http for i in d.instances.values()], seed, 48)
+        callers = Callers([i.http for i in d.instances.values()], seed, 120)
         over = threading.Event()
         chance = random.Random(seed)
         thread = threading.Thread(target=disturb,
