--- a/Source/Flows/FlowOwner.cc
+++ b/Source/Flows/FlowOwner.cc
@@ -181,7 +181,11 @@
   const Endpoint backend{
       .ip = record.backend_ip(),
       .port = static_cast<std::uint16_t>(record.backend_port())};
-  if (FindFlow(turn.tier.table, *key) == nullptr) {
+  FlowEntry* held = FindFlow(turn.tier.table, *key);
+  if (held != nullptr) {
+    held->last_seen = turn.now_seconds;
+    held->flags |= kFlowProven;
+  } else {
     FlowEntry* entry = AddFlow(turn, *key, record.service(), backend, true);
     if (entry != nullptr) {
       entry->generation -= 1;  // Validated before its first use.
@@ -259,15 +263,18 @@
     if (entry.protocol == 0) {
       continue;
     }
-    const std::vector<std::uint32_t> owners =
-        OwnersOf(turn.tier, turn.context.silent, KeyOf(entry));
-    // Those that own it without this instance, first and second.
-    int told = 0;
-    for (const std::uint32_t instance : owners) {
-      if (instance != turn.tier.self && told < 2) {
-        TellFlow(turn, instance, entry);
-        told += 1;
-      }
+    TellOwners(turn, entry);
+  }
+}
+
+void TellOwners(FlowTurn& turn, const FlowEntry& entry) {
+  constexpr int kHolders = 2;  // the owner and the next in rank
+  int told = 0;
+  for (const std::uint32_t instance :
+       OwnersOf(turn.tier, turn.context.silent, KeyOf(entry))) {
+    if (instance != turn.tier.self && told < kHolders) {
+      TellFlow(turn, instance, entry);
+      told += 1;
     }
   }
 }
--- a/Source/Flows/FlowTier.cc
+++ b/Source/Flows/FlowTier.cc
@@ -10,6 +10,7 @@
 constexpr std::uint32_t kUnprovenSeconds = 5;
 constexpr std::uint32_t kClosingSeconds = 10;
 constexpr std::uint32_t kIdleSeconds = 600;
+constexpr std::uint32_t kRefreshSeconds = 60;
 constexpr std::uint16_t kRepeatsUntilSilent = 4;
 constexpr std::size_t kSweepShare = 500;
 
@@ -37,11 +38,25 @@
          backend->second.announcement.service() == service.name;
 }
 
+/// Whether those who must hold the flow should hear that it is still used. They
+/// may never see a packet of it themselves.
+bool WantsRefresh(const FlowTurn& turn, const FlowEntry& entry,
+                  const PacketInfo& info) {
+  const bool newly_proven = !info.syn && (entry.flags & kFlowProven) == 0;
+  const bool new_period =
+      turn.now_seconds / kRefreshSeconds != entry.last_seen / kRefreshSeconds;
+  return newly_proven || new_period;
+}
+
 void NoteProgress(FlowTurn& turn, FlowEntry& entry, const PacketInfo& info) {
+  const bool refresh = WantsRefresh(turn, entry, info);
   entry.last_seen = turn.now_seconds;
   if (!info.syn) {
     entry.flags |= kFlowProven;
   }
+  if (refresh) {
+    TellOwners(turn, entry);
+  }
   if (info.fin) {
     entry.flags |= kFlowClosing;
   }
--- a/Source/Flows/FlowTurn.h
+++ b/Source/Flows/FlowTurn.h
@@ -33,6 +33,8 @@
 void ExpirePending(FlowTurn& turn);
 void HandOverFlows(FlowTurn& turn);
 
+/// Tells the owner and the next in rank, other than this instance.
+void TellOwners(FlowTurn& turn, const FlowEntry& entry);
 /// Queues the flow's backend server for another instance.
 void TellFlow(FlowTurn& turn, std::uint32_t to, const FlowEntry& entry);
 bool IsFlowMessage(std::span<const std::uint8_t> bytes);
--- a/Tests/Flows/FlowsTest.cc
+++ b/Tests/Flows/FlowsTest.cc
@@ -219,6 +219,20 @@
   CHECK_EQUAL(1, this->tier.counters["silent"]);
 }
 
+TEST(Flows, OwnerHearsOfAFlowThatOnlyOthersSee) {
+  const Endpoint peer{.ip = 5, .port = 5};
+  this->tier.packet_addresses[2] = peer;
+  this->tier.instances[peer] = 2;
+  std::uint16_t port = 1;
+  while (this->Arrive(MakePacket(port, kSyn, 1)).forwarded.at(0).to == peer) {
+    port += 1;  // Owned by the other.
+  }
+  CHECK_EQUAL(1, this->Arrive(MakePacket(port, kAck, 2)).datagrams.size());
+  CHECK_EQUAL(0, this->Arrive(MakePacket(port, kAck, 3)).datagrams.size());
+  this->now += std::chrono::seconds(61);
+  CHECK_EQUAL(1, this->Arrive(MakePacket(port, kAck, 4)).datagrams.size());
+}
+
 TEST(Flows, HandedPacketIsNeverHandedOn) {
   const Endpoint peer{.ip = 5, .port = 5};
   this->tier.packet_addresses[2] = peer;
