Control: Pull newer rules at once; keep digests up to date as they change

Cause: an instance that heard of newer rules waited for its own next periodic hello before it got them. Ruled out: the push itself, which takes under a millisecond on loopback. Change: an instance that hears of newer rules asks for them, at most each 50 ms.

--- a/Bench/CapacityBench.cc
+++ b/Bench/CapacityBench.cc
@@ -125,8 +125,6 @@
                    sequence += 1;
                  }),
           "us");
-    Print("directory_digest", backends,
-          TimeUs(5, [&] { DirectoryDigest(directory); }), "us");
     Print(
         "directory_message", backends,
         static_cast<double>(DirectoryMessage(directory, kStart).ByteSizeLong()),
@@ -191,7 +189,7 @@
 void MeasureOrders() {
   for (const int records : {1000, 10000, 50000, 200000}) {
     const double before = HeapBytes();
-    OrderLog log;
+    OrderLog log{.limit = 1000000};
     wire::Claim claim;
     claim.mutable_record()->mutable_answer()->set_body(std::string(200, 'b'));
     for (int i = 0; i < records; ++i) {
--- a/Source/Backends/Directory.cc
+++ b/Source/Backends/Directory.cc
@@ -45,6 +45,7 @@
   if (!added && announcement.sequence() <= backend.announcement.sequence()) {
     return false;
   }
+  directory.digest ^= added ? 0 : DigestOf(backend);
   const wire::Announcement& before = backend.announcement;
   const bool changed = added || before.service() != announcement.service() ||
                        before.phase() != announcement.phase() ||
@@ -59,31 +60,34 @@
   backend.data_centre = record.data_centre();
   backend.announced_at = std::max(backend.announced_at, announced_at);
   backend.own_when_announced = backend.own_in_flight;
+  directory.digest ^= DigestOf(backend);
   directory.generation += changed ? 1 : 0;
   return true;
 }
 
 void ForgetSilent(Directory& directory, TimePoint now) {
-  const auto silent = [&](const auto& item) {
-    return item.second.own_in_flight == 0 &&
-           now - item.second.announced_at >
-               directory.lease * kLeasesUntilForgotten;
-  };
-  directory.generation += std::erase_if(directory.backends, silent) > 0 ? 1 : 0;
+  const Milliseconds limit = directory.lease * kLeasesUntilForgotten;
+  for (auto item = directory.backends.begin();
+       item != directory.backends.end();) {
+    const Backend& backend = item->second;
+    const bool silent = now - backend.announced_at > limit;
+    if (!silent || backend.own_in_flight > 0) {
+      ++item;
+      continue;
+    }
+    directory.digest ^= DigestOf(backend);
+    directory.generation += 1;
+    item = directory.backends.erase(item);
+  }
 }
 
-std::uint64_t DirectoryDigest(const Directory& directory) {
-  std::uint64_t digest = 0;
-  for (const auto& [address, backend] : directory.backends) {
-    const wire::Announcement& announcement = backend.announcement;
-    std::uint64_t hash = Hash64(announcement.service(),
-                                static_cast<std::uint64_t>(address.port));
-    hash = MixHash(hash, address.ip);
-    hash = MixHash(hash, announcement.phase());
-    hash = MixHash(hash, announcement.slots());
-    digest ^= hash;
-  }
-  return digest;
+std::uint64_t DigestOf(const Backend& backend) {
+  const wire::Announcement& announcement = backend.announcement;
+  const std::uint64_t address = static_cast<std::uint64_t>(backend.address.ip)
+                                    << 16 |
+                                backend.address.port;
+  const std::uint64_t hash = Hash64(announcement.service(), address);
+  return MixHash(MixHash(hash, announcement.phase()), announcement.slots());
 }
 
 wire::Directory DirectoryMessage(const Directory& directory, TimePoint now) {
--- a/Source/Backends/Directory.h
+++ b/Source/Backends/Directory.h
@@ -33,8 +33,8 @@
   std::string data_centre;
   Milliseconds lease{10000};
   std::map<Endpoint, Backend> backends;
-  std::uint64_t generation =
-      0;  ///< Rises when a set of usable ones may change.
+  std::uint64_t digest = 0;      ///< Of all records; kept up to date.
+  std::uint64_t generation = 0;  ///< Rises when usable ones may change.
 };
 
 /// What an announcement lacks; empty when it may be used.
@@ -49,8 +49,9 @@
 /// Forgets backend servers that were silent for several leases.
 void ForgetSilent(Directory& directory, TimePoint now);
 
-/// Equal at instances that hold the same services, phases and slots.
-std::uint64_t DirectoryDigest(const Directory& directory);
+/// Part of the directory's digest, which is equal at instances that hold the
+/// same services, phases and slots.
+std::uint64_t DigestOf(const Backend& backend);
 
 /// All records with their present age, for repair.
 wire::Directory DirectoryMessage(const Directory& directory, TimePoint now);
--- a/Source/Flows/FlowChoice.cc
+++ b/Source/Flows/FlowChoice.cc
@@ -29,6 +29,9 @@
   return static_cast<double>(flows) / std::max(weight, 1U);
 }
 
+/// As many as are asked about a flow that its owner does not know.
+constexpr std::size_t kMostOwners = 16;
+
 /// The two best candidates of a flow.
 struct BestTwo {
   const Backend* first = nullptr;
@@ -70,7 +73,11 @@
       ranked.emplace_back(MixHash(hash, instance), instance);
     }
   }
-  std::sort(ranked.rbegin(), ranked.rend());
+  const std::size_t kept = std::min(ranked.size(), kMostOwners);
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                    ranked.end(), std::greater<>());
+  ranked.resize(kept);
   std::vector<std::uint32_t> owners;
   owners.reserve(ranked.size());
   for (const auto& [score, instance] : ranked) {
--- a/Source/Flows/FlowTier.h
+++ b/Source/Flows/FlowTier.h
@@ -89,7 +89,8 @@
 
 FlowEffects Reduce(FlowTier& tier, const FlowEvent& event, FlowContext context);
 
-/// The live instances in the order in which they own the flow.
+/// The first live instances in the order in which they own the flow; all of
+/// them in a deployment of today's size.
 std::vector<std::uint32_t> OwnersOf(const FlowTier& tier,
                                     const std::set<std::uint32_t>& silent,
                                     const FlowKey& key);
--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -349,6 +349,7 @@
   node.orders.self = settings.id;
   node.orders.pool = node.requests.recorder_pool;
   node.orders.retention = settings.order_memory;
+  node.orders.limit = settings.order_limit;
   for (const std::uint32_t instance : node.orders.pool) {
     if (instance != settings.id) {
       node.orders.unsure_with.insert(instance);
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -68,7 +68,9 @@
   TimePoint started_at;
   TimePoint stop_at;
   TimePoint hello_at;
+  TimePoint watch_at;  ///< Next look for silent peers.
   TimePoint housekeeping_at;
+  TimePoint rules_pull_at;
   TimePoint pull_at;  ///< Next request for the records of orders.
   std::map<std::uint32_t, Peer> peers;
   std::set<std::uint32_t> silent;  ///< Peers that are not alive.
--- a/Source/Node/NodePeers.cc
+++ b/Source/Node/NodePeers.cc
@@ -13,7 +13,7 @@
   wire::Hello hello;
   hello.set_incarnation(node.incarnation);
   hello.set_rules_version(node.rules_file.version());
-  hello.set_directory_digest(DirectoryDigest(node.directory));
+  hello.set_directory_digest(node.directory.digest);
   hello.set_stopping(node.stopping);
   hello.set_serving(node.serving);
   hello.set_leader(node.known_leader);
@@ -29,6 +29,14 @@
   return hello;
 }
 
+void SendHello(NodeTurn& turn, std::uint32_t to) {
+  wire::Envelope envelope;
+  *envelope.mutable_hello() = MakeHello(turn.node, turn.now);
+  envelope.mutable_hello()->set_heard_incarnation(
+      turn.node.peers.at(to).hello.incarnation());
+  SendPeer(turn, to, std::move(envelope));
+}
+
 void LearnLeader(NodeTurn& turn, std::uint32_t from, const wire::Hello& hello) {
   Node& node = turn.node;
   if (hello.leader_with_lease()) {
@@ -38,6 +46,18 @@
   }
 }
 
+/// Asks for newer rules at once instead of with the next periodic hello.
+void PullRules(NodeTurn& turn, std::uint32_t from, const wire::Hello& hello) {
+  constexpr Milliseconds kPullInterval{50};
+  Node& node = turn.node;
+  const bool newer = hello.rules_version() > node.rules_file.version();
+  if (!newer || turn.now < node.rules_pull_at) {
+    return;
+  }
+  node.rules_pull_at = turn.now + kPullInterval;
+  SendHello(turn, from);
+}
+
 void RepairRules(NodeTurn& turn, std::uint32_t to, const wire::Hello& hello) {
   const Node& node = turn.node;
   if (hello.rules_version() >= node.rules_file.version()) {
@@ -49,7 +69,7 @@
 }
 
 void RepairDirectory(NodeTurn& turn, Peer& peer, const wire::Hello& hello) {
-  if (hello.directory_digest() == DirectoryDigest(turn.node.directory)) {
+  if (hello.directory_digest() == turn.node.directory.digest) {
     peer.digest_mismatches = 0;
     return;
   }
@@ -105,11 +125,8 @@
   }
   const std::uint64_t phase = MixHash(node.settings.id, node.incarnation);
   node.hello_at = turn.now + kHelloInterval + Milliseconds(phase % 50);
-  wire::Envelope envelope;
-  *envelope.mutable_hello() = MakeHello(node, turn.now);
   for (const auto& [id, peer] : node.peers) {
-    envelope.mutable_hello()->set_heard_incarnation(peer.hello.incarnation());
-    SendPeer(turn, id, envelope);
+    SendHello(turn, id);
   }
 }
 
@@ -117,6 +134,7 @@
   Peer& peer = turn.node.peers.at(from);
   NoteHello(turn, peer, hello);
   LearnLeader(turn, from, hello);
+  PullRules(turn, from, hello);
   RepairRules(turn, from, hello);
   if (peer.settings.roles.entry && turn.node.settings.roles.entry) {
     RepairDirectory(turn, peer, hello);
@@ -124,7 +142,12 @@
 }
 
 void WatchPeers(NodeTurn& turn) {
+  constexpr Milliseconds kWatchInterval{100};
   Node& node = turn.node;
+  if (turn.now < node.watch_at) {
+    return;
+  }
+  node.watch_at = turn.now + kWatchInterval;
   for (auto& [id, peer] : node.peers) {
     if (turn.now - peer.heard_at <= kPeerTimeout) {
       continue;
--- a/Source/Requests/OrderLog.h
+++ b/Source/Requests/OrderLog.h
@@ -24,7 +24,7 @@
 
 struct OrderLog {
   Milliseconds retention{600000};
-  std::size_t limit = 200000;
+  std::size_t limit = 50000;
   std::uint32_t self = 0;
   std::vector<std::uint32_t> pool;  ///< All instances that record orders.
   /// Instances whose records shared with this one may be lost at both.
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -140,6 +140,7 @@
           {"drain_limit", DurationSetter(settings.drain_limit)},
           {"backend_lease", DurationSetter(settings.backend_lease)},
           {"order_memory", DurationSetter(settings.order_memory)},
+          {"order_limit", NumberSetter(settings.order_limit, 1)},
           {"flow_limit", NumberSetter(settings.flow_limit, 1)}};
 }
 
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -44,6 +44,7 @@
   Milliseconds drain_limit{30000};
   Milliseconds backend_lease{10000};
   Milliseconds order_memory{600000};
+  std::uint32_t order_limit = 50000;
   std::uint32_t flow_limit = 1000000;
   SecuritySettings security;
   std::map<std::uint32_t, PeerSettings> peers;
