--- a/Source/Commands/Commands.cc
+++ b/Source/Commands/Commands.cc
@@ -346,7 +346,9 @@
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
-    std::cerr << "error: " << error.argId() << ": " << error.error() << "\n";
+    const std::string subject(Trim(error.argId()));
+    std::cerr << "error: " << (subject.empty() ? "" : subject + ": ")
+              << error.error() << "\n";
     return kExitUsage;
   }
 }
--- /dev/null
+++ b/Source/filbertwallConfig.cmake
@@ -0,0 +1,6 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Protobuf)
+find_dependency(PkgConfig)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
+include(${CMAKE_CURRENT_LIST_DIR}/filbertwallTargets.cmake)
