Requests: Prove a second lost recorder, and a cut-off instance

Cause: docs/INVARIANTS.md listed the loss of a second recorder after a repair as held by a unit test only, and no test cut an instance off under requests. Tests with real processes: three recorders killed -9 one after the other, each once its memory is repaired; 40 of 40 resent orders get their first outcome and ran once. An instance cut off from all others serves 20 of 20 look-ups, says unknown of 5 of 5 orders and runs none; after the cut it gives the outcome that the others had.

--- a/Tests/System/requests_test.py
+++ b/Tests/System/requests_test.py
@@ -11,7 +11,8 @@
 import time
 
 import relay as relays
-from deployment import BINARY, Deployment, request, temporary_deployment
+from deployment import BINARY, Deployment, request, temporary_deployment, \
+    wait_until
 
 
 class Scenario:
@@ -295,6 +296,55 @@
         instance.process = None
 
 
+def resend(instance, keys):
+    """The outcome of each order, sent once more to one instance."""
+    outcomes = []
+    for key in keys:
+        _, fields, _ = request(instance.http, "POST", "/orders",
+                               {"Host": "catalogue", "Idempotency-Key": key},
+                               b"x")
+        outcomes.append(fields.get("Filbertwall-Outcome"))
+    return outcomes
+
+
+def second_recorder_lost_right_after_a_repair():
+    with Scenario() as scenario:
+        d = scenario.deployment
+        keys = ["twice-%d" % i for i in range(40)]
+        assert resend(d.instances[1], keys) == ["complete"] * 40
+        for number in (1, 2, 3):
+            lost = d.instances[number]
+            lost.kill()
+            lost.start()
+            wait_until(lambda i=lost: (i.dump() or {}).get(
+                "order_amnesia") is False, 10, "its memory is repaired")
+        wait_until(d.instances[4].ready, 5, "serves")
+        assert resend(d.instances[4], keys) == ["complete"] * 40
+        names = [run[3] for run in d.runs()]
+        assert all(names.count(key) == 1 for key in keys), names
+
+
+def cut_off_instance_serves_what_it_can():
+    with Scenario(with_relay=True) as scenario:
+        d = scenario.deployment
+        cut = d.instances[4]
+        keys = ["cut-%d" % i for i in range(5)]
+        scenario.relay.set(relays.links_between([4], [1, 2, 3]), "silent")
+        wait_until(lambda: not any(p["alive"] for p in cut.dump()["peers"]),
+                   5, "it knows that it is cut off")
+        for number in range(20):
+            assert request(cut.http, "GET", "/stock/%d" % number,
+                           {"Host": "catalogue"})[0] == 200
+        # It can't reach two recorders, so it must not run them.
+        assert resend(cut, keys) == ["unknown"] * 5
+        assert resend(d.instances[1], keys) == ["complete"] * 5
+        scenario.relay.set(list(scenario.relay.links), "pass")
+        wait_until(lambda: resend(cut, keys) == ["complete"] * 5, 10,
+                   "the others' outcome")
+        names = [run[3] for run in d.runs()]
+        assert all(names.count(key) == 1 for key in keys), names
+
+
 def bad_input_harms_nobody():
     with Scenario() as scenario:
         d = scenario.deployment
