Flows: Check the service before a waiting packet follows another's record

Cause: found by reading. A packet that waited for the others' answer was sent by the record that came, without a look at what the server announces by now; held flows are checked. Test: Flows.RecordOfAServerUnderAnotherServiceIsNotFollowed, red before (the packet went to a server of another service), green after. Also: the end of a graceful stop is logged and its flows are handed over once, not at each tick until the process has gone.

--- a/Source/Flows/FlowOwner.cc
+++ b/Source/Flows/FlowOwner.cc
@@ -151,7 +151,12 @@
     Count(turn, "adopted_unknown");
     entry = AddFlow(turn, key, service.name, *backend, true);
   }
-  if (entry == nullptr || turn.tier.services[entry->service] != service.name) {
+  if (entry == nullptr) {
+    return;
+  }
+  if (!StillServes(turn, *entry, service)) {
+    Count(turn, "service_changed");
+    DropFlow(turn, entry);
     return;
   }
   SetNetworkIdentifier(pending.packet, NetworkIdentifierOf(service.name));
--- a/Source/Flows/FlowTier.cc
+++ b/Source/Flows/FlowTier.cc
@@ -25,19 +25,6 @@
   return service.protocol == Protocol::kPackets ? &service : nullptr;
 }
 
-/// Whether the flow's backend server may still get packets of the service. It
-/// may be draining or silent, but must not serve another service by now.
-bool StillServes(const FlowTurn& turn, const FlowEntry& entry,
-                 const ServiceRule& service) {
-  if (turn.tier.services[entry.service] != service.name) {
-    return false;
-  }
-  const auto backend =
-      turn.context.directory.backends.find(turn.tier.backends[entry.backend]);
-  return backend == turn.context.directory.backends.end() ||
-         backend->second.announcement.service() == service.name;
-}
-
 /// Whether those who must hold the flow should hear that it is still used. They
 /// may never see a packet of it themselves.
 bool WantsRefresh(const FlowTurn& turn, const FlowEntry& entry,
@@ -190,6 +177,17 @@
   return effects;
 }
 
+bool StillServes(const FlowTurn& turn, const FlowEntry& entry,
+                 const ServiceRule& service) {
+  if (turn.tier.services[entry.service] != service.name) {
+    return false;
+  }
+  const auto backend =
+      turn.context.directory.backends.find(turn.tier.backends[entry.backend]);
+  return backend == turn.context.directory.backends.end() ||
+         backend->second.announcement.service() == service.name;
+}
+
 void Count(FlowTurn& turn, const char* counter) {
   turn.tier.counters[counter] += 1;
 }
--- a/Source/Flows/FlowTurn.h
+++ b/Source/Flows/FlowTurn.h
@@ -27,6 +27,11 @@
 void Count(FlowTurn& turn, const char* counter);
 void DropFlow(FlowTurn& turn, FlowEntry* entry);
 
+/// Whether the flow's backend server may still get packets of the service. It
+/// may be draining or silent, but must not serve another service by now.
+bool StillServes(const FlowTurn& turn, const FlowEntry& entry,
+                 const ServiceRule& service);
+
 /// Hands the packet to its owner, or as the owner opens or asks for the flow.
 void HandleMiss(FlowTurn& turn, const UnknownPacket& packet);
 /// Gives up on questions that were not answered in time.
--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -9,6 +9,9 @@
 
 constexpr Milliseconds kHousekeepingInterval{1000};
 
+/// The others and the fabric get this long to learn that it stops.
+constexpr Milliseconds kLeastDrain{1500};
+
 void HandleStarted(NodeTurn& turn) {
   Node& node = turn.node;
   node.started_at = turn.now;
@@ -22,9 +25,6 @@
   }
 }
 
-/// The others and the fabric get this long to learn that it stops.
-constexpr Milliseconds kLeastDrain{1500};
-
 void RunFlows(NodeTurn& turn, const FlowEvent& event) {
   Node& node = turn.node;
   FlowEffects effects = Reduce(node.flows, event,
@@ -44,7 +44,8 @@
   // Until then callers may still be sent here, and are served.
   node.requests.stopping = node.stopping && turn.now >= least_end;
   const bool idle = node.requests.open.empty() && node.requests.stopping;
-  if (node.stopping && (idle || turn.now >= node.stop_at)) {
+  if (!node.stopped && node.stopping && (idle || turn.now >= node.stop_at)) {
+    node.stopped = true;
     RunFlows(turn, FlowHandover{});
     Log(turn, EventId::kStopped,
         std::to_string(node.requests.open.size()) + " requests cut");
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -64,7 +64,8 @@
   wire::RulesFile rules_file;  ///< In force; version 0: none yet.
   Rules rules;
   bool serving = false;
-  bool stopping = false;
+  bool stopping = false;  ///< A graceful stop has begun.
+  bool stopped = false;   ///< It has ended; the process may go.
   TimePoint started_at;
   TimePoint stop_at;
   TimePoint hello_at;
--- a/Tests/Flows/FlowsTest.cc
+++ b/Tests/Flows/FlowsTest.cc
@@ -233,6 +233,32 @@
   CHECK_EQUAL(1, this->Arrive(MakePacket(port, kAck, 4)).datagrams.size());
 }
 
+TEST(Flows, RecordOfAServerUnderAnotherServiceIsNotFollowed) {
+  const Endpoint peer{.ip = 5, .port = 5};
+  this->tier.packet_addresses[2] = peer;
+  this->tier.instances[peer] = 2;
+  this->AddBackend("1.1.1.3:9", "other", 1);
+  const std::vector<std::uint8_t> packet = MakePacket(5, kAck, 2);
+  this->bytes = packet;
+  PacketsArrived event;
+  event.datagrams.push_back({.bytes = this->bytes, .from = peer});
+  CHECK(Reduce(this->tier, event, this->Context()).forwarded.empty());
+  wire::FlowMessage message;
+  wire::FlowRecord& record = *message.add_records();
+  record.set_key(EncodeFlowKey(ReadPacket(packet)->key));
+  record.set_backend_ip(0x01010103);
+  record.set_backend_port(9);
+  record.set_service("proof");
+  this->bytes.assign(1, 0xFB);
+  const std::string body = message.SerializeAsString();
+  this->bytes.insert(this->bytes.end(), body.begin(), body.end());
+  PacketsArrived answer;
+  answer.datagrams.push_back({.bytes = this->bytes, .from = peer});
+  const FlowEffects effects = Reduce(this->tier, answer, this->Context());
+  CHECK(effects.datagrams.empty());
+  CHECK_EQUAL(0, this->tier.table.size);
+}
+
 TEST(Flows, HandedPacketIsNeverHandedOn) {
   const Endpoint peer{.ip = 5, .port = 5};
   this->tier.packet_addresses[2] = peer;
