Requests: Bound the bytes of remembered answers

Cause: found by reading: 50,000 records of up to 64 KB of answer each may take 3.2 GB at a recorder. Change: bodies of remembered answers take at most 16 MB; beyond that an order stays an intent, so that its copies are told unknown. Test: Requests.MemoryOfAnswersIsBounded.

--- a/Source/Requests/OrderLog.cc
+++ b/Source/Requests/OrderLog.cc
@@ -17,10 +17,28 @@
          claim.generation() > stored.generation();
 }
 
+std::size_t AnswerBytes(const wire::OrderRecord& record) {
+  return record.answer().body().size();
+}
+
+/// Bytes held after `record` has taken the place of what is stored.
+std::size_t BytesWith(const OrderLog& log, const wire::OrderRecord& record) {
+  const auto stored = log.records.find(record.key());
+  const std::size_t freed =
+      stored == log.records.end() ? 0 : AnswerBytes(stored->second.record);
+  return log.answer_bytes - freed + AnswerBytes(record);
+}
+
+/// Keeps the record; one whose answer would take too much as an intent only.
 void Store(OrderLog& log, const wire::OrderRecord& record, TimePoint now) {
-  const TimePoint stored_at = now - Milliseconds(record.age_ms());
-  log.records[record.key()] =
-      StoredOrder{.record = record, .stored_at = stored_at};
+  StoredOrder order{.record = record,
+                    .stored_at = now - Milliseconds(record.age_ms())};
+  if (BytesWith(log, record) > log.answer_byte_limit) {
+    order.record.set_phase(wire::INTENT);
+    order.record.clear_answer();
+  }
+  log.answer_bytes = BytesWith(log, order.record);
+  log.records[record.key()] = std::move(order);
 }
 
 /// Whether `fresh` tells more about the order than `stored`.
@@ -146,7 +164,9 @@
 
 void ExpireOrders(OrderLog& log, TimePoint now) {
   std::erase_if(log.records, [&](const auto& item) {
-    return now - item.second.stored_at > log.retention;
+    const bool expired = now - item.second.stored_at > log.retention;
+    log.answer_bytes -= expired ? AnswerBytes(item.second.record) : 0;
+    return expired;
   });
   if (now - log.started_at > log.retention) {
     log.unsure_with.clear();  // What was forgotten would have expired.
--- a/Source/Requests/OrderLog.h
+++ b/Source/Requests/OrderLog.h
@@ -25,6 +25,8 @@
 struct OrderLog {
   Milliseconds retention{600000};
   std::size_t limit = 50000;
+  std::size_t answer_byte_limit = 16UL << 20U;
+  std::size_t answer_bytes = 0;  ///< Bodies of the remembered answers.
   std::uint32_t self = 0;
   std::vector<std::uint32_t> pool;  ///< All instances that record orders.
   /// Instances whose records shared with this one may be lost at both.
@@ -45,8 +47,9 @@
 wire::ClaimReply TakeClaim(OrderLog& log, const wire::Claim& claim,
                            TimePoint now);
 
-/// Notes how an attempt ended. NOT_RUN with an empty answer withdraws a claim
-/// that was never dispatched.
+/// Notes how an attempt ended. An answer beyond the limit of bytes leaves the
+/// order an intent, so that its copies get "unknown". NOT_RUN with an empty
+/// answer withdraws a claim that was never dispatched.
 void TakeOutcome(OrderLog& log, const wire::OrderRecord& record, TimePoint now);
 
 /// Merges records of the recorder `from`; the one that knows more wins. After
--- a/Tests/Requests/RequestsTest.cc
+++ b/Tests/Requests/RequestsTest.cc
@@ -298,6 +298,25 @@
   CHECK(Vouches(fresh, "k"));
 }
 
+TEST(Requests, MemoryOfAnswersIsBounded) {
+  OrderLog small{.answer_byte_limit = 1000};
+  wire::OrderRecord record;
+  record.set_phase(wire::DONE);
+  record.mutable_answer()->set_status(200);
+  record.mutable_answer()->set_body(std::string(300, 'x'));
+  for (std::uint64_t i = 1; i <= 10; ++i) {
+    record.set_key(std::to_string(i));
+    record.set_attempt(i);
+    TakeOutcome(small, record, this->now);
+    TakeOutcome(small, record, this->now);
+  }
+  CHECK_EQUAL(900, small.answer_bytes);
+  CHECK_EQUAL(10, small.records.size());
+  CHECK_EQUAL(wire::INTENT, small.records.at("10").record.phase());
+  ExpireOrders(small, this->now + std::chrono::hours(1));
+  CHECK_EQUAL(0, small.answer_bytes);
+}
+
 TEST(Requests, MemoryOfOrdersIsBounded) {
   OrderLog small{.limit = 10};
   wire::Claim claim;
