Requests: Let work that servers refuse wait for a slot

Ruled out: the queue's bound and the expected wait; the requests never queued. Change: a server that refuses is left alone for 10 to 80 ms, and the request waits in the queue, up to 16 attempts within its deadline. Test: Requests.OrderThatAllServersRefuseWaitsForASlot.

--- a/Bench/requests_bench.py
+++ b/Bench/requests_bench.py
@@ -35,7 +35,8 @@
                 outcome = name.decode()
     except (OSError, asyncio.TimeoutError):
         pass
-    results[kind].append((outcome, 1000 * (time.monotonic() - started)))
+    ended = time.monotonic()
+    results[kind].append((outcome, 1000 * (ended - started), ended))
 
 
 async def offer(addresses, share, seconds, chance):
@@ -55,17 +56,18 @@
             % (line, extra)
         tasks.append(asyncio.create_task(send(
             chance.choice(addresses), head.encode(), results, kind)))
-    sending = time.monotonic() - started
+    over = time.monotonic()
     await asyncio.gather(*tasks)
-    return results, sending
+    # Goodput counts what was complete while the load was still offered.
+    done = sum(1 for values in results.values() for outcome, _, ended in values
+               if outcome == "complete" and ended <= over)
+    return results, over - started, done
 
 
-def report(results, share, sending):
-    done = 0
+def report(results, share, sending, done):
     for kind, values in results.items():
-        good = sorted(ms for outcome, ms in values if outcome == "complete")
-        done += len(good)
-        counts = {name: sum(1 for outcome, _ in values if outcome == name)
+        good = sorted(ms for outcome, ms, _ in values if outcome == "complete")
+        counts = {name: sum(1 for outcome, _, _ in values if outcome == name)
                   for name in ("complete", "not-run", "unknown", "broke")}
         print("%s,%.2f,%d,,%.0f,%.0f,%s" % (
             kind, share, len(values), good[len(good) // 2],
@@ -93,9 +95,9 @@
         addresses = [i.http for i in d.instances.values()]
         print("kind,load,sent,goodput,p50_ms,p99_ms,outcomes")
         for share in (0.5, 0.8, 0.95, 1.2, 2.0):
-            results, sending = asyncio.run(
+            results, sending, done = asyncio.run(
                 offer(addresses, share, seconds, chance))
-            report(results, share, sending)
+            report(results, share, sending, done)
 
 
 main()
--- a/Source/Backends/Directory.h
+++ b/Source/Backends/Directory.h
@@ -25,6 +25,8 @@
   std::uint32_t own_in_flight = 0;
   std::uint32_t own_when_announced = 0;
   std::uint32_t consecutive_failures = 0;
+  std::uint32_t refusals_in_row = 0;
+  TimePoint full_until;  ///< It refused work for want of slots.
   TimePoint last_success;
   TimePoint last_failure;
 };
--- a/Source/Requests/Balancer.cc
+++ b/Source/Requests/Balancer.cc
@@ -39,7 +39,7 @@
 
 bool HasFreeSlot(const Backend& backend, const Rules& rules, TimePoint now) {
   const double slots = EffectiveSlots(backend, rules, now);
-  return backend.own_in_flight + 1.0 <= slots &&
+  return now >= backend.full_until && backend.own_in_flight + 1.0 <= slots &&
          EstimatedLoad(backend, now) + 0.5 <= slots;
 }
 
--- a/Source/Requests/RequestTier.cc
+++ b/Source/Requests/RequestTier.cc
@@ -9,6 +9,10 @@
 namespace filbertwall {
 namespace {
 
+/// Attempts of one request, by how the last one ended.
+constexpr std::uint32_t kMostUnsentAttempts = 6;
+constexpr std::uint32_t kMostRefusedAttempts = 16;
+
 constexpr int kStatusNotRun = 503;
 constexpr int kStatusUnknown = 504;
 constexpr std::size_t kLongestKey = 256;
@@ -139,6 +143,7 @@
   Backend& backend = found->second;
   if (success) {
     backend.consecutive_failures = 0;
+    backend.refusals_in_row = 0;
     backend.last_success = turn.context.now;
     return;
   }
@@ -146,6 +151,21 @@
   backend.last_failure = turn.context.now;
 }
 
+/// Other instances have taken its slots; it is left alone for a moment.
+void NoteRefusal(RequestTurn& turn, const OpenRequest& open) {
+  constexpr Milliseconds kFirstPause{10};
+  constexpr std::uint32_t kMostDoublings = 3;
+  const auto found = turn.context.directory.backends.find(open.backend);
+  if (found == turn.context.directory.backends.end()) {
+    return;
+  }
+  Backend& backend = found->second;
+  const std::uint32_t doublings =
+      std::min(backend.refusals_in_row, kMostDoublings);
+  backend.refusals_in_row += 1;
+  backend.full_until = turn.context.now + kFirstPause * (1U << doublings);
+}
+
 void NoteServiceTime(RequestTurn& turn, const OpenRequest& open) {
   constexpr double kNewShare = 0.1;
   ServiceLoad& load = turn.tier.services[open.service];
@@ -199,10 +219,10 @@
 }
 
 /// The request is known not to have run there; another server may take it.
-void TryElsewhere(RequestTurn& turn, OpenRequest& open) {
-  constexpr std::uint32_t kMostAttempts = 6;
+void TryElsewhere(RequestTurn& turn, OpenRequest& open,
+                  std::uint32_t most_attempts) {
   open.tried.insert(open.backend);
-  if (open.attempts >= kMostAttempts || turn.context.now >= open.deadline) {
+  if (open.attempts >= most_attempts || turn.context.now >= open.deadline) {
     FinishNotRun(turn, open, "the backend servers refused it");
     return;
   }
@@ -235,7 +255,8 @@
     case AttemptResult::Kind::kAnswered:
       if (IsRefusedBeforeRunning(event.result.answer)) {
         Count(turn, "refused_by_backend");
-        TryElsewhere(turn, open);
+        NoteRefusal(turn, open);
+        TryElsewhere(turn, open, kMostRefusedAttempts);
         break;
       }
       NoteHealth(turn, open, event.result.answer.status() < 500);
@@ -245,7 +266,7 @@
     case AttemptResult::Kind::kNotSent:
       NoteHealth(turn, open, false);
       Count(turn, "attempts_not_sent");
-      TryElsewhere(turn, open);
+      TryElsewhere(turn, open, kMostUnsentAttempts);
       break;
     case AttemptResult::Kind::kLost:
       NoteHealth(turn, open, false);
--- a/Tests/Requests/RequestsTest.cc
+++ b/Tests/Requests/RequestsTest.cc
@@ -166,6 +166,18 @@
   CHECK_EQUAL(200, this->answers[1].status());
 }
 
+TEST(Requests, OrderThatAllServersRefuseWaitsForASlot) {
+  this->Arrive(1, Order("k"));
+  this->End(Answered(503, true));
+  this->End(Answered(503, true));
+  CHECK_EQUAL(2, this->started.size());
+  CHECK_FALSE(this->answers.contains(1));
+  this->Pass(Milliseconds(10));
+  CHECK_EQUAL(3, this->started.size());
+  this->End(Answered(200));
+  CHECK_EQUAL(200, this->answers[1].status());
+}
+
 TEST(Requests, NotRunStaysTrueForLaterCopies) {
   for (int i = 0; i < 6; ++i) {
     if (i == 0) {
