--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -13,7 +13,6 @@
   kSettingsRejected = 1005,
   kLeaderElected = 2001,
   kLeadershipLost = 2002,
-  kVoterChanged = 2003,
   kLogTailCut = 2004,
   kLogCorrupt = 2005,
   kSyncFailed = 2006,
@@ -26,7 +25,6 @@
   kAnnouncementRejected = 3011,
   kOrderMemoryRepaired = 4001,
   kMalformedInput = 5001,
-  kFlowsHandedOver = 5010,
 };
 
 enum class Severity { kInfo, kWarning, kError };
