--- /dev/null
+++ b/Source/Base/ExitCode.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Exit codes of the program; docs/operators.md lists them.
+namespace filbertwall {
+
+enum ExitCode {
+  kExitSuccess = 0,
+  kExitUsage = 2,
+  kExitFindings = 3,
+  kExitRefused = 4,
+  kExitUnknown = 5,
+  kExitUnreachable = 6,
+  kExitNetwork = 7,
+  kExitDisk = 8,
+};
+
+}  // namespace filbertwall
--- a/Source/Commands/Commands.cc
+++ b/Source/Commands/Commands.cc
@@ -17,6 +17,7 @@
 #include "Shell/Keys.h"
 #include "Shell/Messenger.h"
 #include "Shell/Runtime.h"
+#include "platform/PlatformCommand.h"
 
 namespace filbertwall {
 namespace {
@@ -124,15 +125,15 @@
   if (!checked) {
     return kExitFindings;
   }
-  switch (RunInstance(checked->settings, checked->keys)) {
-    case RunError::kNone:
-      return kExitSuccess;
-    case RunError::kNetwork:
-      return kExitNetwork;
-    case RunError::kDisk:
-      return kExitDisk;
-  }
-  return kExitSuccess;
+  return ExitCodeOf(RunInstance(checked->settings, checked->keys));
+}
+
+int RunFleet(TCLAP::CmdLine& line, Arguments& arguments) {
+  FileArgument file("settings",
+                    "Settings file (INI); the platform's own when left out.",
+                    false, platform::SettingsPath(), "FILE", line);
+  line.parse(arguments);
+  return platform::RunOnPlatform(file.getValue());
 }
 
 int RunFormat(TCLAP::CmdLine& line, Arguments& arguments) {
@@ -304,6 +305,7 @@
 const std::map<std::string, Command>& AllCommands() {
   static const std::map<std::string, Command> kCommands = {
       {"run", {"Run an instance.", RunRun}},
+      {"fleet", {"Run an instance of a fleet.", RunFleet}},
       {"format", {"Prepare the first control instance's disk.", RunFormat}},
       {"check", {"Report every finding in a rules file.", RunCheck}},
       {"check-config", {"Report every finding in settings.", RunCheckConfig}},
--- a/Source/Control/ControlState.cc
+++ b/Source/Control/ControlState.cc
@@ -20,6 +20,9 @@
 }
 
 void ApplyMember(wire::ControlState& state, const wire::MemberChange& change) {
+  if (change.voter_target() != 0) {
+    state.set_voter_target(change.voter_target());
+  }
   auto& members = *state.mutable_members();
   for (int i = 0; i < members.size(); ++i) {
     if (members.Get(i).instance() == change.instance()) {
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -9,6 +9,9 @@
 namespace filbertwall {
 namespace {
 
+/// Without a leader for this long, a voter asks whether it still is one.
+constexpr Milliseconds kLeaderlessLimit{4000};
+
 /// Spreads elections, so that two candidates rarely start together.
 Milliseconds ElectionJitter(const Replica& replica) {
   const std::uint64_t hash =
@@ -44,6 +47,7 @@
 
 void HandleStarted(ReplicaTurn& turn) {
   Replica& replica = turn.replica;
+  replica.leaderless_since = turn.now;
   // The lease that was granted before a restart is not on disk.
   replica.lease_granted_until = turn.now + replica.config.lease;
   replica.election_at = replica.lease_granted_until + ElectionJitter(replica);
@@ -53,6 +57,32 @@
   }
 }
 
+/// Proposes the removal of one voter that has been silent for long.
+void RemoveSilentVoter(ReplicaTurn& turn) {
+  Replica& replica = turn.replica;
+  const wire::ControlState& state = replica.committed;
+  const auto size = static_cast<std::uint32_t>(state.members_size());
+  if (!replica.config.open_membership || replica.proposing ||
+      size <= replica.config.least_voters || !HasLease(replica, turn.now)) {
+    return;
+  }
+  const bool surplus = state.voter_target() != 0 && size > state.voter_target();
+  const Milliseconds limit = surplus ? replica.config.surplus_silence
+                                     : replica.config.voter_silence;
+  for (const wire::Member& member : state.members()) {
+    const auto heard = replica.heard.find(member.instance());
+    const bool silent = member.instance() != replica.config.self &&
+                        heard != replica.heard.end() &&
+                        turn.now - heard->second > limit;
+    if (silent) {
+      PendingChange pending;
+      pending.change.mutable_member()->set_instance(member.instance());
+      Propose(turn, pending);
+      return;
+    }
+  }
+}
+
 void HandleTick(ReplicaTurn& turn) {
   Replica& replica = turn.replica;
   if (!IsVoter(replica)) {
@@ -63,8 +93,15 @@
     if (turn.now >= replica.heartbeat_at) {
       SendHeartbeats(turn);
     }
+    RemoveSilentVoter(turn);
     return;
   }
+  const bool lost = replica.config.open_membership &&
+                    turn.now > replica.leaderless_since + kLeaderlessLimit;
+  if (lost) {
+    // It may have been removed, or know only voters that were replaced.
+    SendJoin(turn);
+  }
   if (turn.now >= replica.election_at) {
     StartElection(turn);
   }
@@ -74,6 +111,10 @@
   Replica& replica = turn.replica;
   const wire::ControlMessage& message = event.message;
   const bool blank = replica.committed.cluster() == 0;
+  if (replica.role == ReplicaRole::kLeader &&
+      IsVoter(replica.committed, event.from, message.incarnation())) {
+    replica.heard[event.from] = turn.now;
+  }
   if (message.has_join()) {
     const bool foreign = message.cluster() != 0 &&
                          message.cluster() != replica.committed.cluster();
@@ -211,6 +252,35 @@
   return IsVoter(replica.committed, replica.config.self, replica.incarnation);
 }
 
+bool KnowsNewest(const Replica& replica, TimePoint now, Milliseconds limit) {
+  if (replica.role == ReplicaRole::kLeader) {
+    return HasLease(replica, now);
+  }
+  return IsVoter(replica) && replica.leader != 0 &&
+         now - replica.leader_heard_at <= limit &&
+         replica.committed.seq() >= replica.leader_committed;
+}
+
+wire::DurableRecord FoundingRecord(std::uint32_t instance,
+                                   const std::set<std::uint32_t>& founders) {
+  std::uint64_t cluster = 1;
+  for (const std::uint32_t founder : founders) {
+    cluster = MixHash(cluster, founder);
+  }
+  cluster |= 1U;
+  wire::DurableRecord record;
+  record.set_incarnation(MixHash(cluster, instance) | 1U);
+  record.mutable_state()->set_cluster(cluster);
+  record.mutable_state()->set_voter_target(
+      static_cast<std::uint32_t>(founders.size()));
+  for (const std::uint32_t founder : founders) {
+    wire::Member& member = *record.mutable_state()->add_members();
+    member.set_instance(founder);
+    member.set_incarnation(MixHash(cluster, founder) | 1U);
+  }
+  return record;
+}
+
 wire::DurableRecord FormatRecord(std::uint32_t instance,
                                  std::uint64_t incarnation,
                                  std::uint64_t cluster) {
@@ -229,6 +299,7 @@
     StepDown(turn);
   }
   replica.leader = leader;
+  replica.leaderless_since = turn.now;
   replica.lease_granted_until = turn.now + replica.config.lease;
   replica.election_at = replica.lease_granted_until + ElectionJitter(replica);
 }
@@ -254,8 +325,10 @@
   replica.proposal_token = 0;
   replica.role = ReplicaRole::kFollower;
   replica.leader = 0;
+  replica.leaderless_since = turn.now;
   replica.promises.clear();
   replica.acked.clear();
+  replica.heard.clear();
   replica.election_at =
       turn.now + replica.config.lease + ElectionJitter(replica);
 }
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -23,6 +23,12 @@
 struct ReplicaConfig {
   std::uint32_t self = 0;
   std::set<std::uint32_t> control_instances;  ///< May become voters.
+  /// Any instance that asks may become a voter, and silent ones are removed.
+  bool open_membership = false;
+  /// Never removes a voter when that would leave fewer.
+  std::uint32_t least_voters = 3;
+  Milliseconds surplus_silence{5000};  ///< Before a surplus voter is removed.
+  Milliseconds voter_silence{20000};   ///< Before any other voter is.
   Milliseconds heartbeat_interval{100};
   Milliseconds lease{1000};
   Milliseconds join_interval{300};
@@ -55,8 +61,13 @@
   std::uint64_t proposal_token = 0;
   std::deque<PendingChange> queue;
   std::map<std::uint32_t, TimePoint> acked;  ///< Send time of the last acked.
+  /// When the leader last heard each voter; kept while it leads.
+  std::map<std::uint32_t, TimePoint> heard;
   TimePoint elected_at;
   TimePoint lease_granted_until;
+  TimePoint leader_heard_at;            ///< Last heartbeat of the leader.
+  std::uint64_t leader_committed = 0;   ///< The seq that it named.
+  TimePoint leaderless_since;
   TimePoint election_at;
   TimePoint heartbeat_at;
   TimePoint join_at;
@@ -110,6 +121,15 @@
 
 bool IsVoter(const Replica& replica);
 
+/// Whether the committed state was confirmed as the newest one within `limit`,
+/// by a majority (leader) or by a leader (voter).
+bool KnowsNewest(const Replica& replica, TimePoint now, Milliseconds limit);
+
+/// The first state of a new cluster whose founders all write the same one. Each
+/// founder calls it with the same list, before anything was promised.
+wire::DurableRecord FoundingRecord(std::uint32_t instance,
+                                   const std::set<std::uint32_t>& founders);
+
 /// The first state of a new cluster, with this instance as its only voter.
 wire::DurableRecord FormatRecord(std::uint32_t instance,
                                  std::uint64_t incarnation,
--- a/Source/Control/ReplicaElection.cc
+++ b/Source/Control/ReplicaElection.cc
@@ -30,6 +30,9 @@
   replica.leader = replica.config.self;
   replica.elected_at = turn.now;
   replica.acked.clear();
+  for (const wire::Member& member : replica.committed.members()) {
+    replica.heard.try_emplace(member.instance(), turn.now);
+  }
   const std::optional<wire::Entry> undecided = HighestTip(replica);
   replica.promises.clear();
   SendHeartbeats(turn);
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -225,6 +225,8 @@
   if (tip_committed) {
     CommitTip(turn);
   }
+  replica.leader_heard_at = turn.now;
+  replica.leader_committed = heartbeat.committed_seq();
   *ack.mutable_ballot() = heartbeat.ballot();
   ack.set_committed_seq(replica.committed.seq());
   ack.set_echoed_us(heartbeat.sent_us());
@@ -264,13 +266,38 @@
   }
 }
 
+/// The number of voters once `instance` is admitted beside those that live. A
+/// successor of a silent voter does not raise it.
+std::uint32_t TargetWith(const ReplicaTurn& turn, std::uint32_t instance) {
+  const Replica& replica = turn.replica;
+  std::uint32_t living = 1;
+  for (const wire::Member& member : replica.committed.members()) {
+    constexpr Milliseconds kLivingLimit{1000};
+    const auto heard = replica.heard.find(member.instance());
+    const bool lives =
+        member.instance() != replica.config.self &&
+        member.instance() != instance && heard != replica.heard.end() &&
+        turn.now - heard->second <= kLivingLimit;
+    living += lives ? 1 : 0;
+  }
+  return std::max(replica.committed.voter_target(), living + 1);
+}
+
 void HandleJoin(ReplicaTurn& turn, const JoinRequest& request) {
   Replica& replica = turn.replica;
+  if (replica.role == ReplicaRole::kFollower || request.incarnation == 0) {
+    return;
+  }
+  if (WasRemoved(replica.committed, request.instance, request.incarnation)) {
+    if (replica.config.open_membership) {
+      SendInstall(turn, request.instance);  // It takes a new incarnation.
+    }
+    return;
+  }
   const bool allowed =
-      replica.config.control_instances.contains(request.instance) &&
-      !WasRemoved(replica.committed, request.instance, request.incarnation);
-  if (replica.role == ReplicaRole::kFollower || !allowed ||
-      request.incarnation == 0) {
+      replica.config.open_membership ||
+      replica.config.control_instances.contains(request.instance);
+  if (!allowed) {
     return;
   }
   const bool already =
@@ -288,6 +315,7 @@
     wire::MemberChange& change = *pending.change.mutable_member();
     change.set_instance(request.instance);
     change.set_incarnation(request.incarnation);
+    change.set_voter_target(TargetWith(turn, request.instance));
     Propose(turn, pending);
   }
 }
--- a/Source/Control/ReplicaTurn.cc
+++ b/Source/Control/ReplicaTurn.cc
@@ -1,5 +1,7 @@
 #include "Control/ReplicaTurn.h"
 
+#include "Base/Hash.h"
+
 namespace filbertwall {
 
 void Send(ReplicaTurn& turn, std::uint32_t to, wire::ControlMessage message) {
@@ -63,6 +65,13 @@
 void AdoptState(ReplicaTurn& turn, const wire::ControlState& state) {
   Replica& replica = turn.replica;
   replica.committed = state;
+  const bool removed = replica.config.open_membership &&
+                       WasRemoved(state, replica.config.self,
+                                  replica.incarnation);
+  if (removed) {
+    // Like a lost disk: what it promised counts for nothing from now on.
+    replica.incarnation = MixHash(replica.incarnation, state.seq()) | 1U;
+  }
   if (replica.tip && replica.tip->seq() <= state.seq()) {
     replica.tip.reset();
   }
--- /dev/null
+++ b/Source/Distribution/RouteHistory.cc
@@ -0,0 +1,79 @@
+#include "Distribution/RouteHistory.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr std::size_t kMostVersions = 12;
+
+wire::RequestKind KindOf(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kSafe:
+      return wire::REQUEST_SAFE;
+    case RouteKind::kDownload:
+      return wire::REQUEST_DOWNLOAD;
+    case RouteKind::kUnsafe:
+      break;
+  }
+  return wire::REQUEST_UNSAFE;
+}
+
+wire::Route MakeRoute(const AddressRule& rule) {
+  wire::Route route;
+  route.set_ip(rule.address.ip);
+  route.set_port(rule.address.port);
+  for (const SharedService& share : rule.shares) {
+    wire::RouteShare& item = *route.add_shares();
+    item.set_service(share.service);
+    item.set_weight(share.weight);
+  }
+  route.set_kind(KindOf(rule.treatment.kind));
+  route.set_timeout_ms(
+      static_cast<std::uint32_t>(rule.treatment.timeout.count()));
+  route.set_objective_ms(
+      static_cast<std::uint32_t>(rule.treatment.objective.count()));
+  route.set_priority(rule.treatment.priority);
+  return route;
+}
+
+}  // namespace
+
+void AddVersion(RouteHistory& history, const Rules& rules) {
+  RouteSet& set = history.versions[rules.version];
+  for (const auto& [address, rule] : rules.addresses) {
+    const std::uint64_t key =
+        static_cast<std::uint64_t>(address.ip) << 16U | address.port;
+    set.routes[key] = MakeRoute(rule).SerializeAsString();
+  }
+  while (history.versions.size() > kMostVersions) {
+    history.versions.erase(history.versions.begin());
+  }
+}
+
+wire::RoutesUpdate RoutesSince(const RouteHistory& history,
+                               std::uint64_t base) {
+  wire::RoutesUpdate update;
+  if (history.versions.empty() || history.versions.rbegin()->first <= base) {
+    return update;
+  }
+  const auto& [version, newest] = *history.versions.rbegin();
+  const auto known = history.versions.find(base);
+  static const RouteSet kNothing;
+  const bool whole = known == history.versions.end();
+  const RouteSet& before = whole ? kNothing : known->second;
+  update.set_version(version);
+  update.set_base_version(whole ? 0 : base);
+  for (const auto& [key, bytes] : newest.routes) {
+    const auto earlier = before.routes.find(key);
+    if (earlier == before.routes.end() || earlier->second != bytes) {
+      update.add_set()->ParseFromString(bytes);
+    }
+  }
+  for (const auto& [key, bytes] : before.routes) {
+    if (!newest.routes.contains(key)) {
+      update.add_removed(key);
+    }
+  }
+  return update;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Fleet/ControlInstance.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Control/Replica.h"
+#include "Distribution/RouteHistory.h"
+#include "Fleet/Fleet.h"
+#include "Registry/Registry.h"
+
+/// A control instance of a fleet: agrees with the others on the rules, hears
+/// backend servers, and tells the entry instances of both.
+///
+/// A reducer without clock, socket, disk or random source. Not thread safe.
+namespace filbertwall {
+
+/// A call from outside that waits for its answer.
+using CallId = std::uint64_t;
+
+/// An instance that asked to be told of changes.
+struct Subscriber {
+  std::uint64_t rules_version = 0;
+  std::uint64_t registry_change = 0;  ///< All up to it has arrived there.
+  bool control = false;
+  bool rules_wanted = false;
+  TimePoint heard_at;
+};
+
+/// Another control instance as a source of records.
+struct RegistrySource {
+  std::uint64_t epoch = 0;
+  std::uint64_t change = 0;
+  std::string data_centre;
+  TimePoint heard_at;
+};
+
+/// A rules file on its way to its verdict.
+struct WaitingSubmission {
+  CallId call = 0;
+  wire::RulesFile file;
+  TimePoint expires_at;
+};
+
+/// A call that is answered once another control instance has the record.
+struct WaitingReport {
+  CallId call = 0;
+  std::uint64_t change = 0;
+  TimePoint expires_at;
+};
+
+struct ControlInstance {
+  FleetConfig config;
+  Replica replica;
+  Registry registry;
+  RouteHistory history;
+  std::map<InstanceAddress, Subscriber> subscribers;
+  std::map<InstanceAddress, RegistrySource> sources;
+  std::map<std::uint64_t, CallId> proposals;   ///< Token to call.
+  std::deque<WaitingSubmission> submissions;  ///< Until a leader is known.
+  std::deque<WaitingReport> reports;
+  std::uint64_t next_token = 1;
+  TimePoint started_at;
+  TimePoint subscribe_at;
+  TimePoint push_at;  ///< Far in the future when nothing is to be pushed.
+  TimePoint housekeeping_at;
+  bool settled = false;  ///< Knows the backend servers since its start.
+  bool stopping = false;
+  bool disk_failed = false;  ///< Takes no part in agreement meanwhile.
+};
+
+struct ControlInstanceStarted {};
+struct ControlInstanceDue {};
+/// A backend server says what it is and how it is.
+struct ServerReported {
+  CallId call = 0;
+  wire::ServerRecord record;
+};
+struct RulesSubmitted {
+  CallId call = 0;
+  wire::RulesFile file;
+};
+struct RulesRead {
+  CallId call = 0;
+};
+struct ControlStopRequested {};
+/// The disk takes no writes; the log may end anywhere after what was synced.
+struct ControlDiskFailed {};
+/// The disk works again; `log` is all that it holds.
+struct ControlDiskRestored {
+  std::vector<wire::DurableRecord> log;
+};
+using ControlInstanceEvent =
+    std::variant<ControlInstanceStarted, ControlInstanceDue, PeerMessage,
+                 ServerReported, RulesSubmitted, RulesRead,
+                 ControlStopRequested, ControlDiskFailed, ControlDiskRestored>;
+
+enum class CallVerdict {
+  kAccepted,     ///< Done, or has no effect and needs none.
+  kRefused,      ///< Never will be done as asked.
+  kUnavailable,  ///< Not known here; another instance may know.
+  kRedirected,   ///< The instance in `leader` can tell.
+};
+
+/// Answers a call from outside.
+struct AnswerCall {
+  CallId call = 0;
+  CallVerdict verdict = CallVerdict::kUnavailable;
+  InstanceAddress leader = 0;
+  wire::RulesFile rules;            ///< Answer to a read.
+  InstanceAddress report_next = 0;  ///< Where a server should report next.
+  std::string reason;
+};
+/// Must be synced before any later effect of the same list is carried out.
+struct PersistRecord {
+  wire::DurableRecord record;
+};
+using ControlInstanceEffect =
+    std::variant<SendMessage, AnswerCall, PersistRecord, LogRecord>;
+
+/// Makes an instance from what its disk holds.
+ControlInstance MakeControlInstance(
+    const FleetConfig& config, const std::vector<wire::DurableRecord>& log);
+
+/// Applies one event. Precondition: `now` never goes back.
+std::vector<ControlInstanceEffect> Reduce(ControlInstance& instance,
+                                          const ControlInstanceEvent& event,
+                                          TimePoint now);
+
+/// When `ControlInstanceDue` is next of use.
+TimePoint NextDue(const ControlInstance& instance);
+
+/// Records that start a log on an empty disk: a founder's when this is the
+/// first start of the fleet and it is among the seeds, else a blank one.
+wire::DurableRecord FirstRecord(const FleetConfig& config, bool first_start);
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Fleet/EntryInstance.cc
@@ -0,0 +1,242 @@
+#include "Fleet/EntryInstance.h"
+
+#include <algorithm>
+
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kPollInterval{400};
+/// Without word of the newest rules for this long, all are asked.
+constexpr Milliseconds kFreshLimit{900};
+constexpr Milliseconds kUrgentPollInterval{150};
+constexpr Milliseconds kHousekeepingInterval{1000};
+/// Longer than any flow lives, so that its token can be resolved.
+constexpr Milliseconds kGoneRetention{90000};
+/// The routers need two failed health checks to send packets elsewhere.
+constexpr Milliseconds kStopDelay{1800};
+
+struct Turn {
+  EntryInstance& instance;
+  TimePoint now;
+  std::vector<EntryEffect>& effects;
+};
+
+void Log(Turn& turn, EventId id, const std::string& text,
+         Severity severity = Severity::kInfo) {
+  turn.effects.emplace_back(
+      LogRecord{.id = id, .severity = severity, .text = text});
+}
+
+void SendSubscribe(Turn& turn, InstanceAddress to) {
+  const EntryInstance& instance = turn.instance;
+  const ControlSource& source = instance.sources.at(to);
+  wire::FleetMessage message;
+  wire::Subscribe& subscribe = *message.mutable_subscribe();
+  subscribe.set_rules_version(instance.forwarder.routes.version);
+  subscribe.set_rules_wanted(true);
+  subscribe.set_registry_epoch(source.epoch);
+  subscribe.set_registry_change(source.change);
+  turn.effects.emplace_back(
+      SendMessage{.to = to, .message = std::move(message)});
+}
+
+bool IsLost(const EntryInstance& instance, TimePoint now) {
+  return instance.primary == 0 || now - instance.fresh_at > kFreshLimit;
+}
+
+void Poll(Turn& turn) {
+  EntryInstance& instance = turn.instance;
+  if (!IsLost(instance, turn.now)) {
+    instance.poll_at = turn.now + kPollInterval;
+    SendSubscribe(turn, instance.primary);
+    return;
+  }
+  if (instance.primary != 0) {
+    Log(turn, EventId::kControlLost,
+        "control=" + FormatIp(instance.primary) + " silent_ms=" +
+            std::to_string(MillisecondsBetween(instance.fresh_at, turn.now)),
+        Severity::kWarning);
+    instance.primary = 0;
+  }
+  instance.poll_at = turn.now + kUrgentPollInterval;
+  for (const InstanceAddress seed : instance.config.seeds) {
+    instance.sources.try_emplace(seed);
+  }
+  for (const auto& [address, source] : instance.sources) {
+    SendSubscribe(turn, address);
+  }
+}
+
+void UpdateServing(Turn& turn) {
+  EntryInstance& instance = turn.instance;
+  const bool serving = instance.rules_confirmed && instance.servers_known;
+  if (serving && !instance.forwarder.serving) {
+    Log(turn, EventId::kServing,
+        "version=" + std::to_string(instance.forwarder.routes.version) +
+            " servers=" + std::to_string(instance.registry.servers.size()));
+  }
+  instance.forwarder.serving = serving;
+}
+
+void TakeServers(Turn& turn, const wire::Update& update) {
+  EntryInstance& instance = turn.instance;
+  bool changed = false;
+  for (const wire::ServerRecord& record : update.servers()) {
+    if (!CheckRecord(record).empty() ||
+        !MergeRecord(instance.registry, record, turn.now)) {
+      continue;
+    }
+    changed = true;
+    UpdateServer(instance.forwarder.placement, record, turn.now);
+    Log(turn, EventId::kServerChanged,
+        "server=" + record.id() + " service=" + record.service() +
+            " phase=" + wire::ServerPhase_Name(record.phase()) +
+            " silent=" + std::to_string(record.silent()) +
+            " incarnation=" + std::to_string(record.incarnation()) +
+            " sequence=" + std::to_string(record.sequence()));
+  }
+  if (changed) {
+    RefreshUsable(instance.forwarder.placement);
+  }
+}
+
+void TakeRoutes(Turn& turn, const wire::Update& update) {
+  EntryInstance& instance = turn.instance;
+  Forwarder& forwarder = instance.forwarder;
+  if (update.has_routes() &&
+      ApplyRoutes(forwarder.routes, update.routes(), forwarder.placement)) {
+    Log(turn, EventId::kRulesInForce,
+        "version=" + std::to_string(forwarder.routes.version) +
+            " base=" + std::to_string(update.routes().base_version()) +
+            " routes=" + std::to_string(forwarder.routes.routes.size()));
+  }
+  const bool newest = update.fresh() && update.rules_version() > 0 &&
+                      forwarder.routes.version >= update.rules_version();
+  instance.rules_confirmed = instance.rules_confirmed || newest;
+}
+
+/// Prefers a fresh source in the own data centre, then the one it has.
+void ChoosePrimary(Turn& turn, InstanceAddress from,
+                   const ControlSource& source) {
+  EntryInstance& instance = turn.instance;
+  const bool local = source.data_centre == instance.config.data_centre;
+  const bool has_local =
+      instance.primary != 0 &&
+      instance.sources.at(instance.primary).data_centre ==
+          instance.config.data_centre;
+  if (instance.primary == 0 || (local && !has_local)) {
+    instance.primary = from;
+    Log(turn, EventId::kControlFound,
+        "control=" + FormatIp(from) + " data_centre=" + source.data_centre);
+  }
+}
+
+void HandleUpdate(Turn& turn, InstanceAddress from,
+                  const wire::Update& update) {
+  EntryInstance& instance = turn.instance;
+  for (const InstanceAddress address : update.control_instances()) {
+    instance.sources.try_emplace(address);
+  }
+  ControlSource& source = instance.sources[from];
+  source.heard_at = turn.now;
+  source.data_centre = update.data_centre();
+  TakeServers(turn, update);
+  const bool follows = update.registry_epoch() == source.epoch
+                           ? update.registry_from() <= source.change
+                           : update.registry_from() == 0;
+  if (follows) {
+    source.epoch = update.registry_epoch();
+    source.change = update.registry_change();
+  }
+  instance.servers_known = instance.servers_known || update.settled();
+  TakeRoutes(turn, update);
+  if (update.fresh()) {
+    source.fresh_at = turn.now;
+    ChoosePrimary(turn, from, source);
+    if (from == instance.primary) {
+      instance.fresh_at = turn.now;
+    }
+  }
+  if (update.confirm()) {
+    SendSubscribe(turn, from);
+  }
+  UpdateServing(turn);
+}
+
+struct EventVisitor {
+  Turn& turn;
+  void operator()(const EntryStarted&) {
+    EntryInstance& instance = this->turn.instance;
+    instance.started_at = this->turn.now;
+    instance.housekeeping_at = this->turn.now + kHousekeepingInterval;
+    Poll(this->turn);
+  }
+  void operator()(const EntryDue&) {
+    EntryInstance& instance = this->turn.instance;
+    ExpireFlows(instance.forwarder, this->turn.now);
+    if (this->turn.now >= instance.poll_at) {
+      Poll(this->turn);
+    }
+    if (this->turn.now >= instance.housekeeping_at) {
+      instance.housekeeping_at = this->turn.now + kHousekeepingInterval;
+      ForgetGone(instance.registry, kGoneRetention, this->turn.now);
+    }
+    if (instance.stopping && !instance.stopped &&
+        this->turn.now >= instance.stop_at) {
+      instance.stopped = true;
+      Log(this->turn, EventId::kStopped,
+          "flows=" + std::to_string(instance.forwarder.flows.size()));
+      this->turn.effects.emplace_back(EntryStopped{});
+    }
+  }
+  void operator()(const PeerMessage& event) {
+    if (event.message.has_update()) {
+      HandleUpdate(this->turn, event.from, event.message.update());
+    }
+  }
+  void operator()(const EntryStopRequested&) {
+    EntryInstance& instance = this->turn.instance;
+    if (!instance.stopping) {
+      instance.stopping = true;
+      instance.stop_at = this->turn.now + kStopDelay;
+      Log(this->turn, EventId::kStopping,
+          "flows=" + std::to_string(instance.forwarder.flows.size()));
+    }
+  }
+  void operator()(const SeedsChanged& event) {
+    this->turn.instance.config.seeds = event.seeds;
+    Log(this->turn, EventId::kSettingsReloaded,
+        "seeds=" + std::to_string(event.seeds.size()));
+  }
+};
+
+}  // namespace
+
+EntryInstance MakeEntryInstance(const FleetConfig& config) {
+  EntryInstance instance{.config = config};
+  instance.forwarder.placement.config = {.data_centre = config.data_centre,
+                                         .seed = config.incarnation};
+  return instance;
+}
+
+std::vector<EntryEffect> Reduce(EntryInstance& instance,
+                                const EntryEvent& event, TimePoint now) {
+  std::vector<EntryEffect> effects;
+  Turn turn{.instance = instance, .now = now, .effects = effects};
+  std::visit(EventVisitor{.turn = turn}, event);
+  return effects;
+}
+
+TimePoint NextDue(const EntryInstance& instance) {
+  TimePoint due = std::min(instance.poll_at, instance.housekeeping_at);
+  if (instance.stopping) {
+    due = std::min(due, instance.stop_at);
+  }
+  return due;
+}
+
+bool IsReady(const EntryInstance& instance) {
+  return instance.forwarder.serving && !instance.stopping;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Fleet/Fleet.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Base/Event.h"
+#include "Base/Time.h"
+#include "Control/Replica.h"
+#include "Wire/distribution.pb.h"
+
+/// What the instances of a fleet have in common: instances that find each other
+/// at run time, each known by its IPv4 address.
+namespace filbertwall {
+
+/// An instance's IPv4 address in host byte order; also its id in control.
+using InstanceAddress = std::uint32_t;
+
+/// Settings that both kinds of instance use.
+struct FleetConfig {
+  InstanceAddress self = 0;
+  std::string data_centre;
+  std::set<InstanceAddress> seeds;  ///< Control instances to ask first.
+  std::uint32_t tolerated_losses = 1;  ///< Disks that may be lost at once.
+  Milliseconds announce_interval{1000};  ///< Between a server's reports.
+  std::uint64_t incarnation = 0;         ///< Differs at each start.
+};
+
+/// A message of another instance.
+struct PeerMessage {
+  InstanceAddress from = 0;
+  wire::FleetMessage message;
+};
+
+/// Sends a message once; whoever needs an answer asks again.
+struct SendMessage {
+  InstanceAddress to = 0;
+  wire::FleetMessage message;
+};
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Forwarding/Forwarder.cc
@@ -0,0 +1,136 @@
+#include "Forwarding/Forwarder.h"
+
+#include "Base/Hash.h"
+
+namespace filbertwall {
+namespace {
+
+/// Flows are kept this long beyond the time limit of their requests.
+constexpr Milliseconds kExpiryMargin{500};
+
+Decision Drop(ForwardReason reason) {
+  return Decision{.verdict = Verdict::kDrop, .reason = reason};
+}
+
+Decision Reset(ForwardReason reason) {
+  return Decision{.verdict = Verdict::kReset, .reason = reason};
+}
+
+void Remember(Forwarder& forwarder, const FlowPacket& packet,
+              ServerIndex server, const RouteEntry& route, TimePoint now) {
+  if (forwarder.flows.size() >= forwarder.flow_limit) {
+    return;
+  }
+  const TimePoint expires_at = now + route.timeout + kExpiryMargin;
+  forwarder.flows[packet.key] = OpenFlow{
+      .server = server, .opened_at = now, .expires_at = expires_at};
+  forwarder.expiries.emplace_back(expires_at, packet.key);
+  NoteOpening(forwarder.placement.servers[server], now);
+}
+
+Decision Open(Forwarder& forwarder, const FlowPacket& packet, TimePoint now) {
+  const auto route = forwarder.routes.routes.find(KeyOf(packet.key.address));
+  if (route == forwarder.routes.routes.end()) {
+    forwarder.counters.no_route += 1;
+    return Reset(ForwardReason::kNoRoute);
+  }
+  std::optional<ServerIndex> except;
+  const auto known = forwarder.flows.find(packet.key);
+  if (known != forwarder.flows.end()) {
+    if (known->second.answered) {
+      // A late copy: the flow is open at this server already.
+      return Decision{.verdict = Verdict::kForward,
+                      .reason = ForwardReason::kToken,
+                      .server = known->second.server};
+    }
+    except = known->second.server;
+    NoteUnanswered(forwarder.placement.servers[*except], now);
+    forwarder.flows.erase(known);
+  }
+  const ServiceIndex service =
+      ServiceOf(route->second, FlowKeyHash()(packet.key));
+  const auto server =
+      ChooseServer(forwarder.placement, service, except, now);
+  if (!server) {
+    forwarder.counters.no_server += 1;
+    return Reset(ForwardReason::kNoServer);
+  }
+  Remember(forwarder, packet, *server, route->second, now);
+  forwarder.counters.placed += 1;
+  forwarder.counters.placed_again += except ? 1 : 0;
+  return Decision{.verdict = Verdict::kForward,
+                  .reason = except ? ForwardReason::kPlacedAgain
+                                   : ForwardReason::kPlaced,
+                  .server = *server};
+}
+
+/// Keeps the counts of placement right with what a later packet shows.
+void NotePacket(Forwarder& forwarder, const FlowPacket& packet,
+                TimePoint now) {
+  const auto known = forwarder.flows.find(packet.key);
+  if (known == forwarder.flows.end()) {
+    return;
+  }
+  OpenFlow& flow = known->second;
+  PlacedServer& server = forwarder.placement.servers[flow.server];
+  if (!flow.answered && !packet.aborts) {
+    flow.answered = true;
+    NoteAnswered(server, now);
+  }
+  if (packet.closes || packet.aborts) {
+    std::optional<Milliseconds> duration;
+    if (packet.closes) {
+      duration = std::chrono::duration_cast<Milliseconds>(now - flow.opened_at);
+    }
+    NoteEnded(server, flow.answered, duration);
+    forwarder.flows.erase(known);
+  }
+}
+
+}  // namespace
+
+std::size_t FlowKeyHash::operator()(const FlowKey& key) const {
+  const std::uint64_t caller = KeyOf(key.caller);
+  return MixHash(caller, KeyOf(key.address));
+}
+
+Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
+                      TimePoint now) {
+  ExpireFlows(forwarder, now);
+  if (packet.opens) {
+    return forwarder.serving ? Open(forwarder, packet, now)
+                             : Drop(ForwardReason::kNotServing);
+  }
+  NotePacket(forwarder, packet, now);
+  if (forwarder.routes.dropped.contains(KeyOf(packet.key.address))) {
+    forwarder.counters.no_route += 1;
+    return Reset(ForwardReason::kRouteDropped);
+  }
+  const auto server = FindByToken(forwarder.placement, packet.token);
+  if (!server || forwarder.placement.servers[*server].address.ip == 0) {
+    forwarder.counters.unknown_token += 1;
+    return Drop(ForwardReason::kUnknownToken);
+  }
+  forwarder.counters.forwarded += 1;
+  return Decision{.verdict = Verdict::kForward,
+                  .reason = ForwardReason::kToken,
+                  .server = *server};
+}
+
+void ExpireFlows(Forwarder& forwarder, TimePoint now) {
+  while (!forwarder.expiries.empty() &&
+         forwarder.expiries.front().first <= now) {
+    const FlowKey key = forwarder.expiries.front().second;
+    forwarder.expiries.pop_front();
+    const auto flow = forwarder.flows.find(key);
+    if (flow == forwarder.flows.end() || flow->second.expires_at > now) {
+      continue;
+    }
+    NoteEnded(forwarder.placement.servers[flow->second.server],
+              flow->second.answered, std::nullopt);
+    forwarder.counters.expired += 1;
+    forwarder.flows.erase(flow);
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Forwarding/Forwarder.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "Base/Endpoint.h"
+#include "Base/Time.h"
+#include "Forwarding/RouteTable.h"
+#include "Placement/Placement.h"
+
+/// Forwarding by a token that each packet carries.
+///
+/// The first packet of a flow chooses the backend server. Server and caller
+/// then repeat the token in each packet, so every instance can forward any
+/// later packet without a record of the flow. What is kept of flows here
+/// serves placement only, and may be lost. Not thread safe.
+namespace filbertwall {
+
+/// The two ends of a flow as its caller sees them.
+struct FlowKey {
+  Endpoint caller;
+  Endpoint address;
+  bool operator==(const FlowKey&) const = default;
+};
+
+struct FlowKeyHash {
+  std::size_t operator()(const FlowKey& key) const;
+};
+
+/// What a packet from a caller says to the forwarder.
+struct FlowPacket {
+  FlowKey key;
+  bool opens = false;    ///< The first packet of a flow, or a copy of it.
+  bool closes = false;   ///< The caller sends nothing after it.
+  bool aborts = false;   ///< The caller has reset the flow.
+  std::uint32_t copies = 0;  ///< Of an opening packet, sent before this one.
+  std::uint32_t token = 0;
+};
+
+enum class Verdict { kForward, kReset, kDrop };
+
+/// Why a packet was not forwarded, or where a new flow goes.
+enum class ForwardReason {
+  kToken,           ///< Forwarded by its token.
+  kPlaced,          ///< A new flow was placed.
+  kPlacedAgain,     ///< Its first server did not answer.
+  kNoRoute,         ///< No rule for the address.
+  kRouteDropped,    ///< The rules in force have dropped the address.
+  kUnknownToken,    ///< No server with this token is known.
+  kNoServer,        ///< The service has no server that may take it.
+  kNotServing,      ///< This instance does not know the newest rules yet.
+};
+
+struct Decision {
+  Verdict verdict = Verdict::kDrop;
+  ForwardReason reason = ForwardReason::kNoRoute;
+  ServerIndex server = 0;  ///< With kForward.
+};
+
+/// A flow that was opened through this instance and has not ended.
+struct OpenFlow {
+  ServerIndex server = 0;
+  TimePoint opened_at;
+  TimePoint expires_at;
+  bool answered = false;
+};
+
+struct ForwarderCounters {
+  std::uint64_t forwarded = 0;
+  std::uint64_t placed = 0;
+  std::uint64_t placed_again = 0;
+  std::uint64_t no_route = 0;
+  std::uint64_t unknown_token = 0;
+  std::uint64_t no_server = 0;
+  std::uint64_t expired = 0;
+};
+
+struct Forwarder {
+  Placement placement;
+  RouteTable routes;
+  bool serving = false;
+  std::size_t flow_limit = 100000;
+  std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
+  /// Flows by the time that they may have ended, in that order.
+  std::deque<std::pair<TimePoint, FlowKey>> expiries;
+  ForwarderCounters counters;
+};
+
+/// Decides on one packet. Precondition: `now` never goes back.
+Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
+                      TimePoint now);
+
+/// Ends what is kept of flows whose time is over.
+void ExpireFlows(Forwarder& forwarder, TimePoint now);
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Forwarding/RouteTable.cc
@@ -0,0 +1,66 @@
+#include "Forwarding/RouteTable.h"
+
+namespace filbertwall {
+namespace {
+
+RouteEntry MakeEntry(const wire::Route& route, Placement& placement) {
+  RouteEntry entry{.kind = route.kind(),
+                   .timeout = Milliseconds(route.timeout_ms()),
+                   .objective = Milliseconds(route.objective_ms()),
+                   .priority = route.priority()};
+  for (const wire::RouteShare& share : route.shares()) {
+    if (share.weight() > 0) {
+      entry.shares.push_back(
+          ServiceShare{.service = InternService(placement, share.service()),
+                       .weight = share.weight()});
+      entry.total_weight += share.weight();
+    }
+  }
+  return entry;
+}
+
+}  // namespace
+
+bool ApplyRoutes(RouteTable& table, const wire::RoutesUpdate& update,
+                 Placement& placement) {
+  const bool whole = update.base_version() == 0;
+  if (update.version() <= table.version ||
+      (!whole && update.base_version() != table.version)) {
+    return false;
+  }
+  std::unordered_map<RouteKey, RouteEntry> before;
+  if (whole) {
+    before.swap(table.routes);
+  }
+  for (const wire::Route& route : update.set()) {
+    const RouteKey key =
+        KeyOf(Endpoint{.ip = route.ip(),
+                       .port = static_cast<std::uint16_t>(route.port())});
+    table.routes[key] = MakeEntry(route, placement);
+    table.dropped.erase(key);
+  }
+  for (const auto& [key, entry] : before) {
+    if (!table.routes.contains(key)) {
+      table.dropped[key] = update.version();
+    }
+  }
+  for (const RouteKey key : update.removed()) {
+    table.routes.erase(key);
+    table.dropped[key] = update.version();
+  }
+  table.version = update.version();
+  return true;
+}
+
+ServiceIndex ServiceOf(const RouteEntry& route, std::uint64_t flow_hash) {
+  std::uint64_t point = flow_hash % route.total_weight;
+  for (const ServiceShare& share : route.shares) {
+    if (point < share.weight) {
+      return share.service;
+    }
+    point -= share.weight;
+  }
+  return route.shares.back().service;
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Placement/Placement.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Base/Endpoint.h"
+#include "Base/Time.h"
+#include "Wire/registry.pb.h"
+
+/// Which backend server gets a new flow, and which flows none can serve.
+///
+/// An entry instance sees only its own flows: how many of them each server
+/// holds, whether the server accepts them, and how long they last. Plain state
+/// and pure functions; not thread safe.
+namespace filbertwall {
+
+using ServerIndex = std::uint32_t;
+using ServiceIndex = std::uint32_t;
+
+/// A backend server as one entry instance sees it.
+struct PlacedServer {
+  std::string id;
+  std::uint64_t number = 0;  ///< The hexadecimal digits of its id.
+  std::uint32_t token = 0;   ///< What flows to it carry.
+  Endpoint address;
+  ServiceIndex service = 0;
+  std::uint32_t slots = 1;
+  std::uint64_t incarnation = 0;
+  bool local = false;   ///< In the data centre of this instance.
+  bool usable = false;  ///< May take new flows.
+  TimePoint warm_at;    ///< Works slowly until then.
+
+  std::uint32_t in_flight = 0;  ///< Flows of this instance.
+  std::uint32_t unanswered = 0;    ///< Opening packets without a follow-up.
+  TimePoint unanswered_since;      ///< The first of them.
+  TimePoint answered_at;           ///< Last opening that was answered.
+  TimePoint avoid_until;
+  std::uint32_t failures_in_row = 0;
+  double duration_ms = 0;  ///< Moving average of its flows; 0: not known.
+};
+
+struct PlacementConfig {
+  std::string data_centre;
+  std::uint64_t seed = 0;  ///< Differs between instances.
+};
+
+struct Placement {
+  PlacementConfig config;
+  std::vector<PlacedServer> servers;  ///< Never shrinks; indices stay valid.
+  std::unordered_map<std::string, ServerIndex> by_id;
+  std::unordered_map<std::uint32_t, ServerIndex> by_token;
+  std::unordered_map<std::string, ServiceIndex> services;
+  std::vector<std::vector<ServerIndex>> usable_of;  ///< By service.
+  std::uint64_t draws = 0;  ///< Drives the choice among equals.
+};
+
+/// The number that an id's hexadecimal digits form; the last 16 count.
+std::uint64_t NumberOf(std::string_view id);
+
+/// Gives the index of a service, a new one when its name is new.
+ServiceIndex InternService(Placement& placement, const std::string& name);
+
+/// Takes what is known of a server by now. Precondition: `record` is the latest
+/// of its id, as the registry merged it.
+void UpdateServer(Placement& placement, const wire::ServerRecord& record,
+                  TimePoint now);
+
+/// Recomputes which servers may take new flows. Of several at one address only
+/// the latest incarnation may. Call after a group of `UpdateServer`.
+void RefreshUsable(Placement& placement);
+
+/// The server for a new flow, preferably another than `except`. Empty when the
+/// service has none that may take it.
+std::optional<ServerIndex> ChooseServer(Placement& placement,
+                                        ServiceIndex service,
+                                        std::optional<ServerIndex> except,
+                                        TimePoint now);
+
+/// The server whose flows carry `token`.
+std::optional<ServerIndex> FindByToken(const Placement& placement,
+                                       std::uint32_t token);
+
+/// An opening packet goes to the server.
+void NoteOpening(PlacedServer& server, TimePoint now);
+/// The caller went on, so the server has accepted the flow.
+void NoteAnswered(PlacedServer& server, TimePoint now);
+/// The caller sent its opening packet again, so the server has not answered.
+void NoteUnanswered(PlacedServer& server, TimePoint now);
+/// A flow has ended; `duration` is empty when it was given up.
+void NoteEnded(PlacedServer& server, bool answered,
+               std::optional<Milliseconds> duration);
+
+}  // namespace filbertwall
--- a/Source/Rules/Rules.h
+++ b/Source/Rules/Rules.h
@@ -26,19 +26,62 @@
   std::string asker;
 };
 
+/// What a service's operators tell of it beside its treatment here.
+struct ServiceDetails {
+  std::string health_path;
+  std::string application = "h1";  ///< Protocol inside the flows.
+  std::uint32_t flow_limit = 0;    ///< Of each backend server; 0: none given.
+  bool tls = false;
+  bool operator==(const ServiceDetails&) const = default;
+};
+
 struct ServiceRule {
   std::string name;
   Protocol protocol = Protocol::kHttp;
   Preference preference = Preference::kStability;
+  ServiceDetails details;
   Origin origin;
 };
 
+/// A service among those that the flows to one address are split over.
+struct SharedService {
+  std::string service;
+  std::uint32_t weight = 1;
+  bool operator==(const SharedService&) const = default;
+};
+
+/// Whether the requests inside a flow may be repeated.
+enum class RouteKind { kUnsafe, kSafe, kDownload };
+
+/// How the flows to one address are treated.
+struct RouteTreatment {
+  std::string name;  ///< For operators; may be empty.
+  RouteKind kind = RouteKind::kUnsafe;
+  Milliseconds timeout{2000};
+  Milliseconds objective{0};  ///< Latency objective; 0: none.
+  std::uint32_t priority = 0;  ///< 0 is the highest.
+  std::uint32_t attempts = 1;
+  bool operator==(const RouteTreatment&) const = default;
+};
+
 struct AddressRule {
   Endpoint address;
-  std::string service;
+  std::string service;  ///< The first of `shares`.
+  std::vector<SharedService> shares;
+  bool weighted = false;  ///< The line gives weights.
+  RouteTreatment treatment;
   Origin origin;
 };
 
+/// Limits on requests that the instances between caller and server observe.
+struct BoundsRule {
+  std::uint32_t header_bytes = 0;
+  std::uint32_t body_bytes = 0;
+  Milliseconds header_timeout{0};
+  Milliseconds idle_timeout{0};
+  bool operator==(const BoundsRule&) const = default;
+};
+
 /// Treatment of the requests whose method and path prefix match.
 struct RequestRule {
   std::string service;
@@ -73,6 +116,7 @@
   std::vector<RequestRule> requests;
   std::vector<WeightRule> weights;
   std::map<std::string, LimitRule> limits;
+  BoundsRule bounds;
 };
 
 /// The service that a request's Host header names: a service's name or one of
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view kAskerMark = "by:";
+constexpr std::uint32_t kMostNumber = INT32_MAX;
 
 using Options = std::map<std::string, std::string>;
 
@@ -21,6 +22,8 @@
   Origin origin;
   bool version_seen = false;
   Origin version_origin;
+  bool bounds_seen = false;
+  Origin bounds_origin;
 };
 
 void Report(Parser& parser, const std::string& text,
@@ -95,6 +98,31 @@
   target = static_cast<std::uint32_t>(*number);
 }
 
+void TakeText(const Options& options, const std::string& key,
+              std::string& target) {
+  const auto option = options.find(key);
+  if (option != options.end()) {
+    target = option->second;
+  }
+}
+
+void TakeDuration(Parser& parser, const Options& options,
+                  const std::string& key, Milliseconds least,
+                  Milliseconds& target) {
+  const auto option = options.find(key);
+  if (option == options.end()) {
+    return;
+  }
+  const auto duration = ParseDuration(option->second);
+  if (!duration || *duration < least) {
+    Report(parser, key + "=" + option->second,
+           "a duration from " + std::to_string(least.count()) +
+               "ms to 3600s");
+    return;
+  }
+  target = *duration;
+}
+
 bool HasWords(Parser& parser, const std::vector<std::string>& words,
               std::size_t count, const std::string& shape) {
   if (words.size() >= count) {
@@ -136,9 +164,16 @@
                 "[prefer=stability|balance]")) {
     return;
   }
-  const Options options =
-      ParseOptions(parser, words, 2, {"protocol", "prefer"});
+  const Options options = ParseOptions(
+      parser, words, 2,
+      {"protocol", "prefer", "health", "application", "flows", "tls"});
   ServiceRule rule{.name = words[1], .origin = parser.origin};
+  TakeText(options, "health", rule.details.health_path);
+  TakeText(options, "application", rule.details.application);
+  TakeNumber(parser, options, "flows", 0, kMostNumber,
+             rule.details.flow_limit);
+  TakeChoice<bool>(parser, options, "tls", {{"yes", true}, {"no", false}},
+                   rule.details.tls);
   TakeChoice<Protocol>(
       parser, options, "protocol",
       {{"http", Protocol::kHttp}, {"packets", Protocol::kPackets}},
@@ -151,25 +186,90 @@
       parser.result.rules.services.emplace(rule.name, rule);
   const ServiceRule& first = position->second;
   if (!added && (first.protocol != rule.protocol ||
-                 first.preference != rule.preference)) {
+                 first.preference != rule.preference ||
+                 first.details != rule.details)) {
     ReportConflict(parser, first.origin);
   }
 }
 
+/// Parses SERVICE or SERVICE=WEIGHT[,SERVICE=WEIGHT...].
+void ParseShares(Parser& parser, const std::string& word, AddressRule& rule) {
+  constexpr std::uint32_t kMostShareWeight = 1000000;
+  std::uint64_t total = 0;
+  for (const std::string& part : SplitAt(word, ',')) {
+    const std::vector<std::string> sides = SplitAt(part, '=');
+    SharedService share{.service = sides[0]};
+    if (sides.size() > 1) {
+      const auto weight = ParseNumber(sides[1], 0, kMostShareWeight);
+      if (sides.size() > 2 || !weight) {
+        Report(parser, part, "SERVICE=WEIGHT, the weight from 0 to 1000000");
+        return;
+      }
+      share.weight = static_cast<std::uint32_t>(*weight);
+      rule.weighted = true;
+    }
+    total += share.weight;
+    rule.shares.push_back(share);
+  }
+  if (total == 0) {
+    Report(parser, word, "a service with a weight above 0");
+  }
+  rule.service = rule.shares.front().service;
+}
+
+void ParseTreatment(Parser& parser, const std::vector<std::string>& words,
+                    RouteTreatment& treatment) {
+  const Options options = ParseOptions(
+      parser, words, 3,
+      {"name", "kind", "timeout", "objective", "priority", "attempts"});
+  TakeText(options, "name", treatment.name);
+  TakeChoice<RouteKind>(parser, options, "kind",
+                        {{"unsafe", RouteKind::kUnsafe},
+                         {"safe", RouteKind::kSafe},
+                         {"download", RouteKind::kDownload}},
+                        treatment.kind);
+  TakeDuration(parser, options, "timeout", Milliseconds(1), treatment.timeout);
+  TakeDuration(parser, options, "objective", Milliseconds(0),
+               treatment.objective);
+  TakeNumber(parser, options, "priority", 0, kMostNumber, treatment.priority);
+  TakeNumber(parser, options, "attempts", 0, kMostNumber, treatment.attempts);
+}
+
+void ParseBounds(Parser& parser, const std::vector<std::string>& words) {
+  const Options options =
+      ParseOptions(parser, words, 1, {"header", "body", "header-wait", "idle"});
+  BoundsRule& bounds = parser.result.rules.bounds;
+  const BoundsRule before = bounds;
+  TakeNumber(parser, options, "header", 0, kMostNumber, bounds.header_bytes);
+  TakeNumber(parser, options, "body", 0, kMostNumber, bounds.body_bytes);
+  TakeDuration(parser, options, "header-wait", Milliseconds(0),
+               bounds.header_timeout);
+  TakeDuration(parser, options, "idle", Milliseconds(0), bounds.idle_timeout);
+  if (parser.bounds_seen && bounds != before) {
+    ReportConflict(parser, parser.bounds_origin);
+  }
+  parser.bounds_seen = true;
+  parser.bounds_origin = parser.origin;
+}
+
 void ParseAddress(Parser& parser, const std::vector<std::string>& words) {
-  if (!HasWords(parser, words, 3, "address IP:PORT SERVICE")) {
+  if (!HasWords(parser, words, 3,
+                "address IP:PORT SERVICE[=WEIGHT][,SERVICE[=WEIGHT]] [name=] "
+                "[kind=] [timeout=] [objective=] [priority=] [attempts=]")) {
     return;
   }
-  ParseOptions(parser, words, 3, {});
+  AddressRule rule{.origin = parser.origin};
+  ParseShares(parser, words[2], rule);
+  ParseTreatment(parser, words, rule.treatment);
   const auto endpoint = TakeEndpoint(parser, words[1]);
-  if (!endpoint) {
+  if (!endpoint || rule.shares.empty()) {
     return;
   }
-  const AddressRule rule{
-      .address = *endpoint, .service = words[2], .origin = parser.origin};
+  rule.address = *endpoint;
   const auto [position, added] =
       parser.result.rules.addresses.emplace(*endpoint, rule);
-  if (!added && position->second.service != rule.service) {
+  if (!added && (position->second.shares != rule.shares ||
+                 position->second.treatment != rule.treatment)) {
     ReportConflict(parser, position->second.origin);
   }
 }
@@ -193,16 +293,7 @@
                    .method = words[2],
                    .path = words[3],
                    .origin = parser.origin};
-  const auto deadline = options.find("deadline");
-  if (deadline != options.end()) {
-    const auto duration = ParseDuration(deadline->second);
-    if (duration && duration->count() > 0) {
-      rule.deadline = *duration;
-    } else {
-      Report(parser, "deadline=" + deadline->second,
-             "a duration from 1ms to 3600s");
-    }
-  }
+  TakeDuration(parser, options, "deadline", Milliseconds(1), rule.deadline);
   constexpr std::uint32_t kMostRetries = 10;
   constexpr std::uint32_t kLongestQueue = 100000;
   TakeNumber(parser, options, "retries", 0, kMostRetries, rule.retries);
@@ -279,11 +370,12 @@
                         void (*)(Parser&, const std::vector<std::string>&)>
       kKinds = {{"version", ParseVersion}, {"service", ParseService},
                 {"address", ParseAddress}, {"request", ParseRequest},
-                {"weight", ParseWeight},   {"limit", ParseLimit}};
+                {"weight", ParseWeight},   {"limit", ParseLimit},
+                {"bounds", ParseBounds}};
   const auto kind = kKinds.find(words[0]);
   if (kind == kKinds.end()) {
     Report(parser, words[0],
-           "version, service, address, request, weight or limit");
+           "version, service, address, request, weight, limit or bounds");
     return;
   }
   kind->second(parser, words);
@@ -324,7 +416,9 @@
 void CheckReferences(Parser& parser) {
   const Rules& rules = parser.result.rules;
   for (const auto& [endpoint, rule] : rules.addresses) {
-    CheckReference(parser, rule.service, rule.origin);
+    for (const SharedService& share : rule.shares) {
+      CheckReference(parser, share.service, rule.origin);
+    }
   }
   for (const RequestRule& rule : rules.requests) {
     CheckReference(parser, rule.service, rule.origin);
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -126,10 +126,65 @@
   };
 }
 
+/// A number, or an IPv4 address, which is unique without being handed out.
+Setter IdSetter(std::uint32_t& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const auto number = ParseNumber(value, 1, UINT32_MAX);
+    const auto address = ParseEndpoint(value + ":1");
+    if (!number && !address) {
+      Report(parser, value, "a number from 1, or an IPv4 address");
+      return;
+    }
+    target = number ? static_cast<std::uint32_t>(*number) : address->ip;
+  };
+}
+
+Setter EndpointsSetter(std::vector<Endpoint>& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    for (const std::string& part : SplitAt(value, ',')) {
+      const auto endpoint = ParseEndpoint(Trim(part));
+      if (!endpoint) {
+        Report(parser, part, "IPv4 addresses with ports, with commas between");
+        continue;
+      }
+      target.push_back(*endpoint);
+    }
+  };
+}
+
+Setter BooleanSetter(bool& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    if (value != "true" && value != "false") {
+      Report(parser, value, "true or false");
+      return;
+    }
+    target = value == "true";
+  };
+}
+
+Setter PortSetter(std::uint16_t& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const auto number = ParseNumber(value, 1, UINT16_MAX);
+    if (!number) {
+      Report(parser, value, "a port from 1 to 65535");
+      return;
+    }
+    target = static_cast<std::uint16_t>(*number);
+  };
+}
+
 using Setters = std::map<std::string, Setter>;
 
+Setters FleetSetters(FleetSettings& fleet) {
+  return {{"seeds", EndpointsSetter(fleet.seeds)},
+          {"first_start", BooleanSetter(fleet.first_start)},
+          {"tolerated_losses", NumberSetter(fleet.tolerated_losses, 0)},
+          {"announce_interval", DurationSetter(fleet.announce_interval)},
+          {"metrics_port", PortSetter(fleet.metrics_port)}};
+}
+
 Setters InstanceSetters(Settings& settings) {
-  return {{"id", NumberSetter(settings.id, 1)},
+  return {{"id", IdSetter(settings.id)},
           {"data_centre", TextSetter(settings.data_centre)},
           {"roles", RolesSetter(settings.roles)},
           {"data_folder", TextSetter(settings.data_folder)},
@@ -164,6 +219,9 @@
   if (section == "instance") {
     return InstanceSetters(settings);
   }
+  if (section == "fleet") {
+    return FleetSetters(settings.fleet);
+  }
   if (section == "security") {
     return SecuritySetters(settings);
   }
@@ -188,7 +246,7 @@
   const Setters setters = SettersOf(parser, section);
   if (setters.empty()) {
     Report(parser, "[" + std::string(section) + "]",
-           "[instance], [security], [peer.ID] or [operator.NAME]");
+           "[instance], [fleet], [security], [peer.ID] or [operator.NAME]");
     return 1;
   }
   const auto setter = setters.find(name);
@@ -234,6 +292,7 @@
 /// Reports what is missing from the file as a whole.
 void CheckWhole(Parser& parser) {
   const Settings& settings = parser.result.settings;
+  const bool fleet = !settings.fleet.seeds.empty();
   parser.line = 0;
   Require(parser, settings.id != 0, "[instance]", "id = NUMBER");
   Require(parser, !settings.data_centre.empty(), "[instance]",
@@ -244,8 +303,13 @@
           "control_address = IP:PORT");
   Require(parser, !settings.roles.control || !settings.data_folder.empty(),
           "[instance]", "data_folder = PATH, as its roles include control");
-  Require(parser, !settings.roles.entry || settings.http_address.port != 0,
+  Require(parser,
+          fleet || !settings.roles.entry || settings.http_address.port != 0,
           "[instance]", "http_address = IP:PORT, as its roles include entry");
+  Require(parser, !fleet || settings.announce_address.port != 0, "[instance]",
+          "announce_address = IP:PORT, as it belongs to a fleet");
+  Require(parser, !fleet || settings.roles.entry != settings.roles.control,
+          "[instance]", "one role, as it belongs to a fleet");
   Require(parser, !settings.roles.entry || settings.announce_address.port != 0,
           "[instance]",
           "announce_address = IP:PORT, as its roles include entry");
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -32,6 +32,16 @@
   std::map<std::string, std::string> operators;  ///< Name to public key.
 };
 
+/// A fleet's instances find each other at run time, by control instances that
+/// the settings name.
+struct FleetSettings {
+  std::vector<Endpoint> seeds;  ///< Control instances; empty: no fleet.
+  bool first_start = false;     ///< No instance of the fleet ran before.
+  std::uint32_t tolerated_losses = 1;    ///< Disks that may be lost at once.
+  Milliseconds announce_interval{1000};  ///< Between a server's reports.
+  std::uint16_t metrics_port = 0;        ///< 0: no metrics are served.
+};
+
 struct Settings {
   std::uint32_t id = 0;
   std::string data_centre;
@@ -47,6 +57,7 @@
   std::uint32_t order_limit = 50000;
   std::uint32_t flow_limit = 1000000;
   SecuritySettings security;
+  FleetSettings fleet;
   std::map<std::uint32_t, PeerSettings> peers;
 };
 
--- /dev/null
+++ b/Source/Shell/ControlRuntime.cc
@@ -0,0 +1,318 @@
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <random>
+
+#include "Fleet/ControlInstance.h"
+#include "Shell/ControlStore.h"
+#include "Shell/FleetLink.h"
+#include "Shell/FleetLoop.h"
+#include "Shell/FleetRuntime.h"
+#include "Shell/FleetSettingsFile.h"
+#include "Shell/HttpServer.h"
+#include "Shell/Log.h"
+
+/// The process of a control instance of a fleet.
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kSettingsInterval{2000};
+constexpr Milliseconds kDiskRetryInterval{300};
+constexpr Milliseconds kStopDelay{300};
+
+std::uint64_t RandomNumber() {
+  std::random_device source;
+  return static_cast<std::uint64_t>(source()) << 32U | source();
+}
+
+/// A call that is not answered yet.
+struct OpenCall {
+  HttpCall request;
+  FleetCall call;
+};
+
+class ControlRuntime {
+ public:
+  ControlRuntime(const FleetSource& source, const FleetAdapter& deployment)
+      : settings(source.settings),
+        adapter(deployment),
+        file(source.path),
+        link(this->loop.Base()),
+        http(this->loop.Base()) {}
+
+  RunError Run();
+
+  // Effects, by visitation.
+  void operator()(const SendMessage& effect) { this->link.Send(effect); }
+  void operator()(const LogRecord& effect) { WriteLog(effect); }
+  void operator()(const AnswerCall& effect);
+  void operator()(const PersistRecord& effect);
+
+  // Calls, by visitation, with the call's id.
+  void Start(CallId id, const ReportCall& call);
+  void Start(CallId id, const SubmitCall& call);
+  void Start(CallId id, const ReadCall&);
+  void Start(CallId id, const HealthCall&);
+  void Start(CallId id, const MalformedCall&);
+
+ private:
+  bool OpenPorts();
+  void ConnectSignals();
+  /// The records on disk, after a first one if there were none; empty when the
+  /// disk does not work.
+  std::optional<std::vector<wire::DurableRecord>> OpenStore();
+  void Handle(const ControlInstanceEvent& event);
+  void HandleCall(std::uint64_t id, const HttpRequest& request);
+  void HandleDue();
+  void FailDisk(const StoreFailure& failure);
+  void ReloadSettings();
+  void Rearm();
+
+  Settings settings;
+  const FleetAdapter& adapter;
+  FleetSettingsFile file;
+  FleetLoop loop;
+  FleetLink link;
+  HttpServer http;
+  std::unique_ptr<ControlStore> store;
+  ControlInstance instance;
+  std::map<CallId, OpenCall> calls;
+  TimePoint settings_at;
+  TimePoint disk_retry_at = TimePoint::max();
+  TimePoint stop_at = TimePoint::max();
+  bool disk_failed = false;
+};
+
+std::optional<std::vector<wire::DurableRecord>> ControlRuntime::OpenStore() {
+  const std::string& folder = this->settings.data_folder;
+  this->store = std::make_unique<ControlStore>();
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  auto contents = this->store->Open(folder);
+  if (!contents) {
+    WriteLog({.id = EventId::kSyncFailed,
+              .severity = Severity::kError,
+              .text = contents.error().detail});
+    return std::nullopt;
+  }
+  if (contents.value().tail_cut) {
+    WriteLog({.id = EventId::kLogTailCut,
+              .severity = Severity::kWarning,
+              .text = "an unfinished record was left out"});
+  }
+  std::vector<wire::DurableRecord> records =
+      std::move(contents.value().records);
+  if (records.empty()) {
+    const wire::DurableRecord first = FirstRecord(
+        this->instance.config, this->settings.fleet.first_start);
+    const auto appended = this->store->Append(first);
+    if (!appended) {
+      WriteLog({.id = EventId::kSyncFailed,
+                .severity = Severity::kError,
+                .text = appended.error().detail});
+      return std::nullopt;
+    }
+    records.push_back(first);
+  }
+  return records;
+}
+
+bool ControlRuntime::OpenPorts() {
+  const Settings& own = this->settings;
+  std::string failed;
+  if (!this->link.Start(own.control_address)) {
+    failed = "control_address " + FormatEndpoint(own.control_address);
+  } else if (!this->http.Start(own.announce_address)) {
+    failed = "announce_address " + FormatEndpoint(own.announce_address);
+  }
+  if (failed.empty()) {
+    return true;
+  }
+  WriteLog({.id = EventId::kSettingsRejected,
+            .severity = Severity::kError,
+            .text = "cannot listen: " + failed});
+  return false;
+}
+
+void ControlRuntime::ConnectSignals() {
+  this->link.on_message.connect(
+      [this](const PeerMessage& message) { this->Handle(message); });
+  this->http.on_request.connect(
+      [this](std::uint64_t id, const HttpRequest& request) {
+        this->HandleCall(id, request);
+      });
+  this->http.on_caller_left.connect(
+      [this](std::uint64_t id) { this->calls.erase(id); });
+  this->loop.on_due.connect([this] { this->HandleDue(); });
+  this->loop.on_stop.connect([this] {
+    this->http.StartClosing();
+    this->Handle(ControlStopRequested{});
+    this->stop_at = FleetNow() + kStopDelay;
+    this->Rearm();
+  });
+  this->loop.on_reload.connect([this] { this->ReloadSettings(); });
+}
+
+RunError ControlRuntime::Run() {
+  const FleetConfig config =
+      MakeFleetConfig(this->settings, RandomNumber() | 1U);
+  this->instance.config = config;
+  const auto log = this->OpenStore();
+  this->instance = MakeControlInstance(
+      config, log.value_or(std::vector<wire::DurableRecord>()));
+  if (!this->OpenPorts()) {
+    return RunError::kNetwork;
+  }
+  this->ConnectSignals();
+  this->settings_at = FleetNow() + kSettingsInterval;
+  if (!log) {
+    this->disk_failed = true;
+    this->disk_retry_at = FleetNow() + kDiskRetryInterval;
+    this->instance.disk_failed = true;
+  }
+  this->Handle(ControlInstanceStarted{});
+  this->loop.Run();
+  return RunError::kNone;
+}
+
+void ControlRuntime::Rearm() {
+  this->loop.WakeAt(std::min({NextDue(this->instance), this->settings_at,
+                              this->disk_retry_at, this->stop_at}));
+}
+
+void ControlRuntime::Handle(const ControlInstanceEvent& event) {
+  const bool worked = !this->disk_failed;
+  for (const ControlInstanceEffect& effect :
+       Reduce(this->instance, event, FleetNow())) {
+    if (worked && this->disk_failed) {
+      break;  // No promise may follow a write that failed.
+    }
+    std::visit(*this, effect);
+  }
+  if (worked && this->disk_failed) {
+    this->Handle(ControlDiskFailed{});
+  }
+  this->Rearm();
+}
+
+void ControlRuntime::HandleDue() {
+  const TimePoint now = FleetNow();
+  if (now >= this->stop_at) {
+    WriteLog({.id = EventId::kStopped, .text = "control instance"});
+    this->stop_at = TimePoint::max();
+    this->loop.End();
+    return;
+  }
+  if (now >= this->disk_retry_at) {
+    this->disk_retry_at = now + kDiskRetryInterval;
+    auto log = this->OpenStore();
+    if (log) {
+      this->disk_failed = false;
+      this->disk_retry_at = TimePoint::max();
+      WriteLog({.id = EventId::kDiskRestored,
+                .text = "records=" + std::to_string(log->size())});
+      this->Handle(ControlDiskRestored{.log = std::move(*log)});
+    }
+  }
+  if (now >= this->settings_at) {
+    this->settings_at = now + kSettingsInterval;
+    this->ReloadSettings();
+  }
+  this->Handle(ControlInstanceDue{});
+}
+
+void ControlRuntime::FailDisk(const StoreFailure& failure) {
+  WriteLog({.id = EventId::kSyncFailed,
+            .severity = Severity::kError,
+            .text = failure.detail});
+  this->disk_failed = true;
+  this->disk_retry_at = FleetNow() + kDiskRetryInterval;
+}
+
+void ControlRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
+  const HttpCall http_call{.method = request.method,
+                           .path = request.path,
+                           .body = request.body};
+  const auto [position, added] = this->calls.emplace(
+      id, OpenCall{.request = http_call,
+                   .call = this->adapter.calls.read(http_call)});
+  // The answer may come, and remove the call, before `Start` returns.
+  const FleetCall call = position->second.call;
+  std::visit([&](const auto& item) { this->Start(id, item); }, call);
+}
+
+void ControlRuntime::Start(CallId id, const ReportCall& call) {
+  this->Handle(ServerReported{.call = id, .record = call.record});
+}
+
+void ControlRuntime::Start(CallId id, const SubmitCall& call) {
+  this->Handle(RulesSubmitted{.call = id, .file = call.file});
+}
+
+void ControlRuntime::Start(CallId id, const ReadCall&) {
+  this->Handle(RulesRead{.call = id});
+}
+
+void ControlRuntime::Start(CallId id, const HealthCall&) {
+  (*this)(AnswerCall{.call = id, .verdict = CallVerdict::kAccepted});
+}
+
+void ControlRuntime::Start(CallId id, const MalformedCall& call) {
+  WriteLog({.id = EventId::kMalformedInput,
+            .severity = Severity::kWarning,
+            .text = "call=" + this->calls.at(id).request.path + " " +
+                    call.reason});
+  (*this)(AnswerCall{.call = id, .verdict = CallVerdict::kRefused});
+}
+
+void ControlRuntime::operator()(const AnswerCall& effect) {
+  const auto found = this->calls.find(effect.call);
+  if (found == this->calls.end()) {
+    return;  // Its caller has left.
+  }
+  const OpenCall open = std::move(found->second);
+  this->calls.erase(found);
+  const wire::Answer answer =
+      this->adapter.calls.write(open.request, open.call, effect);
+  const bool report = std::holds_alternative<ReportCall>(open.call);
+  if (!report || effect.verdict != CallVerdict::kAccepted) {
+    WriteLog({.id = EventId::kSubmission,
+              .text = "call=" + open.request.path + " status=" +
+                      std::to_string(answer.status()) + " leader=" +
+                      FormatIp(effect.leader) + " " + effect.reason});
+  }
+  this->http.Answer(effect.call, answer);
+}
+
+void ControlRuntime::operator()(const PersistRecord& effect) {
+  auto written = this->store->Append(effect.record);
+  if (written && this->store->WantsSnapshot()) {
+    written = this->store->Replace(FullRecord(this->instance.replica));
+  }
+  if (!written) {
+    this->FailDisk(written.error());
+  }
+}
+
+void ControlRuntime::ReloadSettings() {
+  const auto fresh = this->file.Reload();
+  if (!fresh) {
+    return;
+  }
+  this->instance.config.seeds =
+      MakeFleetConfig(*fresh, this->instance.config.incarnation).seeds;
+  WriteLog({.id = EventId::kSettingsReloaded,
+            .text = "seeds=" +
+                    std::to_string(this->instance.config.seeds.size())});
+}
+
+}  // namespace
+
+RunError RunControlInstance(const FleetSource& source,
+                            const FleetAdapter& adapter) {
+  StartLog(source.settings.id);
+  ControlRuntime runtime(source, adapter);
+  return runtime.Run();
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/EntryRuntime.cc
@@ -0,0 +1,260 @@
+#include <random>
+
+#include "Fleet/EntryInstance.h"
+#include "Shell/FleetLink.h"
+#include "Shell/FleetLoop.h"
+#include "Shell/FleetRuntime.h"
+#include "Shell/FleetSettingsFile.h"
+#include "Shell/HttpServer.h"
+#include "Shell/Log.h"
+
+/// The process of an entry instance.
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kSettingsInterval{2000};
+
+const char* ReasonName(ForwardReason reason) {
+  switch (reason) {
+    case ForwardReason::kToken:
+      return "token";
+    case ForwardReason::kPlaced:
+      return "placed";
+    case ForwardReason::kPlacedAgain:
+      return "placed-again";
+    case ForwardReason::kNoRoute:
+      return "no-route";
+    case ForwardReason::kRouteDropped:
+      return "route-dropped";
+    case ForwardReason::kUnknownToken:
+      return "unknown-token";
+    case ForwardReason::kNoServer:
+      return "no-server";
+    case ForwardReason::kNotServing:
+      return "not-serving";
+  }
+  return "";
+}
+
+class EntryRuntime {
+ public:
+  EntryRuntime(const FleetSource& source, const FleetAdapter& deployment)
+      : settings(source.settings),
+        adapter(deployment),
+        file(source.path),
+        link(this->loop.Base()),
+        packets(this->loop.Base()),
+        http(this->loop.Base()) {}
+
+  RunError Run();
+
+  // Effects, by visitation.
+  void operator()(const SendMessage& effect) { this->link.Send(effect); }
+  void operator()(const LogRecord& effect) { WriteLog(effect); }
+  void operator()(const EntryStopped&) { this->loop.End(); }
+
+ private:
+  bool OpenPorts();
+  void ConnectSignals();
+  void Handle(const EntryEvent& event);
+  void HandleCall(std::uint64_t id, const HttpRequest& request);
+  void HandlePackets(std::span<const ReceivedDatagram> batch);
+  void HandlePacket(const ReceivedDatagram& datagram, TimePoint now);
+  void LogDecision(const FlowPacket& packet, const Decision& decision);
+  void ReloadSettings();
+
+  Settings settings;
+  const FleetAdapter& adapter;
+  FleetSettingsFile file;
+  FleetLoop loop;
+  FleetLink link;
+  DatagramPort packets;
+  HttpServer http;
+  EntryInstance instance;
+  TimePoint settings_at;
+  /// Resets of one batch; they must live until the batch is sent.
+  std::vector<std::array<std::uint8_t, 64>> resets;
+};
+
+bool EntryRuntime::OpenPorts() {
+  const Settings& own = this->settings;
+  std::string failed;
+  if (!this->link.Start(own.control_address)) {
+    failed = "control_address " + FormatEndpoint(own.control_address);
+  } else if (!this->packets.Start(own.packet_address)) {
+    failed = "packet_address " + FormatEndpoint(own.packet_address);
+  } else if (!this->http.Start(own.announce_address)) {
+    failed = "announce_address " + FormatEndpoint(own.announce_address);
+  }
+  if (failed.empty()) {
+    return true;
+  }
+  WriteLog({.id = EventId::kSettingsRejected,
+            .severity = Severity::kError,
+            .text = "cannot listen: " + failed});
+  return false;
+}
+
+void EntryRuntime::ConnectSignals() {
+  this->link.on_message.connect(
+      [this](const PeerMessage& message) { this->Handle(message); });
+  this->packets.on_batch.connect(
+      [this](std::span<const ReceivedDatagram> batch) {
+        this->HandlePackets(batch);
+      });
+  this->http.on_request.connect(
+      [this](std::uint64_t id, const HttpRequest& request) {
+        this->HandleCall(id, request);
+      });
+  this->loop.on_due.connect([this] {
+    this->Handle(EntryDue{});
+    if (FleetNow() >= this->settings_at) {
+      this->settings_at = FleetNow() + kSettingsInterval;
+      this->ReloadSettings();
+    }
+  });
+  this->loop.on_stop.connect([this] {
+    this->http.StartClosing();
+    this->Handle(EntryStopRequested{});
+  });
+  this->loop.on_reload.connect([this] { this->ReloadSettings(); });
+}
+
+RunError EntryRuntime::Run() {
+  this->instance = MakeEntryInstance(
+      MakeFleetConfig(this->settings, std::random_device()()));
+  if (!this->OpenPorts()) {
+    return RunError::kNetwork;
+  }
+  this->ConnectSignals();
+  this->settings_at = FleetNow() + kSettingsInterval;
+  WriteLog({.id = EventId::kStarted,
+            .text = "role=entry data_centre=" + this->settings.data_centre});
+  this->Handle(EntryStarted{});
+  this->loop.Run();
+  return RunError::kNone;
+}
+
+void EntryRuntime::Handle(const EntryEvent& event) {
+  for (const EntryEffect& effect : Reduce(this->instance, event, FleetNow())) {
+    std::visit(*this, effect);
+  }
+  this->loop.WakeAt(NextDue(this->instance));
+}
+
+void EntryRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
+  const HttpCall http_call{.method = request.method, .path = request.path};
+  const FleetCall call = this->adapter.calls.read(http_call);
+  const bool ready =
+      std::holds_alternative<HealthCall>(call) && IsReady(this->instance);
+  const AnswerCall answer{.verdict = ready ? CallVerdict::kAccepted
+                                           : CallVerdict::kUnavailable};
+  this->http.Answer(id, this->adapter.calls.write(http_call, call, answer));
+}
+
+void EntryRuntime::HandlePackets(std::span<const ReceivedDatagram> batch) {
+  this->resets.clear();
+  this->resets.reserve(batch.size());
+  const TimePoint now = FleetNow();
+  for (const ReceivedDatagram& datagram : batch) {
+    this->HandlePacket(datagram, now);
+  }
+}
+
+void EntryRuntime::HandlePacket(const ReceivedDatagram& datagram,
+                                TimePoint now) {
+  const PacketCodec& codec = this->adapter.packets;
+  FlowPacket packet;
+  if (!codec.parse(datagram.bytes, packet)) {
+    WriteLog({.id = EventId::kMalformedInput,
+              .severity = Severity::kWarning,
+              .text = "a packet from " + FormatEndpoint(datagram.from)});
+    return;
+  }
+  const Decision decision =
+      DecidePacket(this->instance.forwarder, packet, now);
+  if (decision.reason != ForwardReason::kToken) {
+    this->LogDecision(packet, decision);
+  }
+  switch (decision.verdict) {
+    case Verdict::kForward: {
+      const PlacedServer& server =
+          this->instance.forwarder.placement.servers[decision.server];
+      codec.stamp(datagram.bytes, server.token);
+      std::array<std::uint8_t, DatagramPort::kLongestHead> head{};
+      const std::size_t length = codec.write_head(server.number, head);
+      this->packets.Send(server.address, std::span(head.data(), length),
+                         datagram.bytes);
+      return;
+    }
+    case Verdict::kReset: {
+      auto& reset = this->resets.emplace_back();
+      const std::size_t length = codec.write_reset(datagram.bytes, reset);
+      const Endpoint caller{.ip = packet.key.caller.ip,
+                            .port = this->settings.packet_address.port};
+      this->packets.Send(caller, {}, std::span(reset.data(), length));
+      return;
+    }
+    case Verdict::kDrop:
+      return;
+  }
+}
+
+void EntryRuntime::LogDecision(const FlowPacket& packet,
+                               const Decision& decision) {
+  const bool forwarded = decision.verdict == Verdict::kForward;
+  const Placement& placement = this->instance.forwarder.placement;
+  std::string text = "flow=" + FormatEndpoint(packet.key.caller) + ">" +
+                     FormatEndpoint(packet.key.address) +
+                     " reason=" + ReasonName(decision.reason) + " version=" +
+                     std::to_string(this->instance.forwarder.routes.version) +
+                     " copies=" + std::to_string(packet.copies);
+  EventId id = EventId::kFlowPlaced;
+  if (forwarded) {
+    const PlacedServer& server = placement.servers[decision.server];
+    text += " server=" + server.id +
+            " in_flight=" + std::to_string(server.in_flight);
+  } else {
+    id = decision.verdict == Verdict::kReset ? EventId::kFlowRefused
+                                             : EventId::kPacketDropped;
+    text += " token=" + std::to_string(packet.token);
+  }
+  WriteLog({.id = id,
+            .severity = forwarded ? Severity::kInfo : Severity::kWarning,
+            .text = text});
+}
+
+void EntryRuntime::ReloadSettings() {
+  const auto fresh = this->file.Reload();
+  if (!fresh) {
+    return;
+  }
+  this->Handle(SeedsChanged{
+      .seeds = MakeFleetConfig(*fresh, this->instance.config.incarnation)
+                   .seeds});
+}
+
+}  // namespace
+
+FleetConfig MakeFleetConfig(const Settings& settings,
+                            std::uint64_t incarnation) {
+  FleetConfig config{
+      .self = settings.control_address.ip,
+      .data_centre = settings.data_centre,
+      .tolerated_losses = settings.fleet.tolerated_losses,
+      .announce_interval = settings.fleet.announce_interval,
+      .incarnation = incarnation};
+  for (const Endpoint& seed : settings.fleet.seeds) {
+    config.seeds.insert(seed.ip);
+  }
+  return config;
+}
+
+RunError RunEntryInstance(const FleetSource& source,
+                          const FleetAdapter& adapter) {
+  StartLog(source.settings.id);
+  EntryRuntime runtime(source, adapter);
+  return runtime.Run();
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/FleetLink.cc
@@ -0,0 +1,62 @@
+#include "Shell/FleetLink.h"
+
+#include <ctime>
+
+namespace filbertwall {
+
+TimePoint FleetNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
+FleetLink::FleetLink(event_base* base) : port(base) {
+  this->port.on_batch.connect(
+      [this](std::span<const ReceivedDatagram> batch) {
+        this->TakeBatch(batch);
+      });
+}
+
+bool FleetLink::Start(const Endpoint& address) {
+  this->peer_port = address.port;
+  return this->port.Start(address);
+}
+
+std::uint64_t FleetLink::Malformed() const {
+  return this->malformed + this->reassembler.Malformed();
+}
+
+void FleetLink::Send(const SendMessage& effect) {
+  const std::string bytes = effect.message.SerializeAsString();
+  const Endpoint to{.ip = effect.to, .port = this->peer_port};
+  for (const std::string& datagram :
+       SplitMessage(bytes, this->next_message++)) {
+    const std::span body(reinterpret_cast<const std::uint8_t*>(datagram.data()),
+                         datagram.size());
+    this->port.Send(to, {}, body);
+    this->port.Flush();
+    this->bytes_sent += datagram.size();
+  }
+}
+
+void FleetLink::TakeBatch(std::span<const ReceivedDatagram> batch) {
+  for (const ReceivedDatagram& datagram : batch) {
+    const std::string_view bytes(
+        reinterpret_cast<const char*>(datagram.bytes.data()),
+        datagram.bytes.size());
+    const auto whole =
+        this->reassembler.Take(datagram.from.ip, bytes, FleetNow());
+    if (!whole) {
+      continue;
+    }
+    PeerMessage message{.from = datagram.from.ip};
+    if (!message.message.ParseFromString(*whole)) {
+      this->malformed += 1;
+      continue;
+    }
+    this->on_message.emit(message);
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Shell/FleetLoop.cc
@@ -0,0 +1,83 @@
+#include "Shell/FleetLoop.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "Shell/FleetLink.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr Microseconds kLongestWait{1000000};
+constexpr Microseconds kFarewell{100000};
+
+timeval ToSystem(Microseconds time) {
+  constexpr std::int64_t kMicrosecondsPerSecond = 1000000;
+  return timeval{.tv_sec = time.count() / kMicrosecondsPerSecond,
+                 .tv_usec = time.count() % kMicrosecondsPerSecond};
+}
+
+}  // namespace
+
+FleetLoop::FleetLoop() : base(event_base_new(), &event_base_free) {
+  std::signal(SIGPIPE, SIG_IGN);
+  this->timer = evtimer_new(this->Base(), &FleetLoop::OnTimer, this);
+  this->terminate =
+      evsignal_new(this->Base(), SIGTERM, &FleetLoop::OnStop, this);
+  this->interrupt =
+      evsignal_new(this->Base(), SIGINT, &FleetLoop::OnStop, this);
+  this->hangup = evsignal_new(this->Base(), SIGHUP, &FleetLoop::OnReload, this);
+  for (event* item : {this->terminate, this->interrupt, this->hangup}) {
+    event_add(item, nullptr);
+  }
+}
+
+FleetLoop::~FleetLoop() {
+  for (event* item :
+       {this->timer, this->terminate, this->interrupt, this->hangup}) {
+    event_free(item);
+  }
+}
+
+void FleetLoop::WakeAt(TimePoint due) {
+  if (due == this->armed_for) {
+    return;
+  }
+  this->armed_for = due;
+  const TimePoint now = FleetNow();
+  const Microseconds wait =
+      due <= now ? Microseconds(0)
+                 : std::chrono::duration_cast<Microseconds>(
+                       std::min<TimePoint::duration>(due - now, kLongestWait));
+  const timeval system = ToSystem(std::min(wait, kLongestWait));
+  event_add(this->timer, &system);
+}
+
+void FleetLoop::Run() { event_base_dispatch(this->Base()); }
+
+void FleetLoop::End() {
+  const timeval moment = ToSystem(kFarewell);
+  event_base_loopexit(this->Base(), &moment);
+}
+
+void FleetLoop::OnTimer(evutil_socket_t, short, void* self) {
+  auto& loop = *static_cast<FleetLoop*>(self);
+  loop.armed_for.reset();
+  loop.on_due.emit();
+}
+
+void FleetLoop::OnStop(evutil_socket_t, short, void* self) {
+  auto& loop = *static_cast<FleetLoop*>(self);
+  if (loop.stop_requested) {
+    event_base_loopbreak(loop.Base());  // The second signal ends at once.
+    return;
+  }
+  loop.stop_requested = true;
+  loop.on_stop.emit();
+}
+
+void FleetLoop::OnReload(evutil_socket_t, short, void* self) {
+  static_cast<FleetLoop*>(self)->on_reload.emit();
+}
+
+}  // namespace filbertwall
--- a/Source/Shell/Runtime.cc
+++ b/Source/Shell/Runtime.cc
@@ -358,6 +358,18 @@
 
 }  // namespace
 
+ExitCode ExitCodeOf(RunError error) {
+  switch (error) {
+    case RunError::kNone:
+      return kExitSuccess;
+    case RunError::kNetwork:
+      return kExitNetwork;
+    case RunError::kDisk:
+      return kExitDisk;
+  }
+  return kExitSuccess;
+}
+
 RunError RunInstance(const Settings& settings, const KeyPair& keys) {
   std::signal(SIGPIPE, SIG_IGN);
   StartLog(settings.id);
--- a/Source/Shell/Runtime.h
+++ b/Source/Shell/Runtime.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "Base/ExitCode.h"
 #include "Settings/Settings.h"
 #include "Shell/Keys.h"
 
@@ -12,6 +13,8 @@
 
 enum class RunError { kNone, kNetwork, kDisk };
 
+ExitCode ExitCodeOf(RunError error);
+
 /// Runs until a graceful stop has ended. Precondition: the settings have no
 /// findings; SIGTERM and SIGINT belong to this process alone.
 RunError RunInstance(const Settings& settings, const KeyPair& keys);
