--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -30,6 +30,7 @@
   kAnnouncementRejected = 3011,
   kServerChanged = 3012,
   kReportUnconfirmed = 3013,
+  kRegistryNotSaved = 3014,
   kOrderMemoryRepaired = 4001,
   kMalformedInput = 5001,
   kFlowPlaced = 6001,
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -67,8 +67,8 @@
     return;
   }
   const bool surplus = state.voter_target() != 0 && size > state.voter_target();
-  const Milliseconds limit = surplus ? replica.config.surplus_silence
-                                     : replica.config.voter_silence;
+  const Milliseconds limit =
+      surplus ? replica.config.surplus_silence : replica.config.voter_silence;
   for (const wire::Member& member : state.members()) {
     const auto heard = replica.heard.find(member.instance());
     const bool silent = member.instance() != replica.config.self &&
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -65,8 +65,8 @@
   std::map<std::uint32_t, TimePoint> heard;
   TimePoint elected_at;
   TimePoint lease_granted_until;
-  TimePoint leader_heard_at;            ///< Last heartbeat of the leader.
-  std::uint64_t leader_committed = 0;   ///< The seq that it named.
+  TimePoint leader_heard_at;           ///< Last heartbeat of the leader.
+  std::uint64_t leader_committed = 0;  ///< The seq that it named.
   TimePoint leaderless_since;
   TimePoint election_at;
   TimePoint heartbeat_at;
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -274,10 +274,10 @@
   for (const wire::Member& member : replica.committed.members()) {
     constexpr Milliseconds kLivingLimit{1000};
     const auto heard = replica.heard.find(member.instance());
-    const bool lives =
-        member.instance() != replica.config.self &&
-        member.instance() != instance && heard != replica.heard.end() &&
-        turn.now - heard->second <= kLivingLimit;
+    const bool lives = member.instance() != replica.config.self &&
+                       member.instance() != instance &&
+                       heard != replica.heard.end() &&
+                       turn.now - heard->second <= kLivingLimit;
     living += lives ? 1 : 0;
   }
   return std::max(replica.committed.voter_target(), living + 1);
--- a/Source/Control/ReplicaTurn.cc
+++ b/Source/Control/ReplicaTurn.cc
@@ -65,9 +65,9 @@
 void AdoptState(ReplicaTurn& turn, const wire::ControlState& state) {
   Replica& replica = turn.replica;
   replica.committed = state;
-  const bool removed = replica.config.open_membership &&
-                       WasRemoved(state, replica.config.self,
-                                  replica.incarnation);
+  const bool removed =
+      replica.config.open_membership &&
+      WasRemoved(state, replica.config.self, replica.incarnation);
   if (removed) {
     // Like a lost disk: what it promised counts for nothing from now on.
     replica.incarnation = MixHash(replica.incarnation, state.seq()) | 1U;
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -21,6 +21,8 @@
 /// A redirect names a leader that was heard within this time.
 constexpr Milliseconds kRedirectLimit{600};
 constexpr Milliseconds kGoneRetention{90000};
+constexpr Milliseconds kSaveInterval{1000};
+constexpr Milliseconds kLease{600};
 constexpr int kIntervalsUntilSilent = 5;
 constexpr int kIntervalsUntilSettled = 2;
 constexpr TimePoint kNever = TimePoint::max();
@@ -53,11 +55,17 @@
   update.set_registry_epoch(instance.config.incarnation);
   update.set_registry_from(subscriber.registry_change);
   update.set_registry_change(instance.registry.change);
-  for (const wire::ServerRecord& record : RecordsAfter(
-           instance.registry, subscriber.registry_change, turn.now)) {
+  for (const wire::ServerRecord& record :
+       RecordsAfter(instance.registry, subscriber.registry_change, turn.now)) {
     *update.add_servers() = record;
   }
   update.set_rules_version(state.rules().version());
+  update.set_seq(state.seq());
+  update.set_voter(!instance.disk_failed && IsVoter(instance.replica));
+  if (instance.replica.tip && instance.replica.tip->change().has_rules()) {
+    update.set_pending_version(
+        instance.replica.tip->change().rules().version());
+  }
   if (subscriber.rules_wanted) {
     const wire::RoutesUpdate routes =
         RoutesSince(instance.history, subscriber.rules_version);
@@ -209,8 +217,8 @@
     const auto known = instance.registry.servers.find(record.id());
     const bool silent = known != instance.registry.servers.end() &&
                         known->second.record.silent();
-    record.set_silent(silent && known->second.record.sequence() ==
-                                    record.sequence());
+    record.set_silent(silent &&
+                      known->second.record.sequence() == record.sequence());
     if (CheckRecord(record).empty() &&
         MergeRecord(instance.registry, record, turn.now)) {
       changed = true;
@@ -294,9 +302,9 @@
 void TakeCommitted(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   const wire::RulesFile& file = instance.replica.committed.rules();
-  const bool known = !instance.history.versions.empty() &&
-                     instance.history.versions.rbegin()->first >=
-                         file.version();
+  const bool known =
+      !instance.history.versions.empty() &&
+      instance.history.versions.rbegin()->first >= file.version();
   if (file.version() == 0 || known) {
     return;
   }
@@ -349,6 +357,37 @@
   }
 }
 
+/// Takes what was saved as reported long ago, so that servers that do not
+/// report again soon are taken for silent.
+void RestoreRegistry(ControlTurn& turn, const wire::SavedRegistry& saved) {
+  ControlInstance& instance = turn.instance;
+  const TimePoint reported =
+      turn.now - instance.config.announce_interval *
+                     (kIntervalsUntilSilent - kIntervalsUntilSettled);
+  for (const wire::ServerRecord& record : saved.servers()) {
+    if (CheckRecord(record).empty()) {
+      MergeRecord(instance.registry, record, reported);
+    }
+  }
+  instance.settled = saved.servers_size() > 0;
+  instance.saved_change = instance.registry.change;
+}
+
+void SaveServers(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  instance.save_at = turn.now + kSaveInterval;
+  if (instance.saved_change == instance.registry.change) {
+    return;
+  }
+  instance.saved_change = instance.registry.change;
+  SaveRegistry effect;
+  for (wire::ServerRecord& record :
+       RecordsAfter(instance.registry, 0, turn.now)) {
+    *effect.saved.add_servers() = std::move(record);
+  }
+  turn.effects.emplace_back(std::move(effect));
+}
+
 void HandleDue(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   RunReplica(turn, ControlTick{});
@@ -360,6 +399,9 @@
   }
   StepSubmissions(turn);
   StepReports(turn);
+  if (turn.now >= instance.save_at) {
+    SaveServers(turn);
+  }
   if (turn.now < instance.housekeeping_at) {
     return;
   }
@@ -377,10 +419,11 @@
 
 struct EventVisitor {
   ControlTurn& turn;
-  void operator()(const ControlInstanceStarted&) {
+  void operator()(const ControlInstanceStarted& event) {
     ControlInstance& instance = this->turn.instance;
     instance.started_at = this->turn.now;
     instance.push_at = kNever;
+    RestoreRegistry(this->turn, event.saved);
     Log(this->turn, EventId::kStarted,
         "seq=" + std::to_string(instance.replica.committed.seq()) +
             " members=" +
@@ -418,8 +461,8 @@
     ControlInstance& instance = this->turn.instance;
     instance.disk_failed = true;
     for (const auto& [token, call] : instance.proposals) {
-      Answer(this->turn, AnswerCall{.call = call,
-                                    .reason = "the disk takes no writes"});
+      Answer(this->turn,
+             AnswerCall{.call = call, .reason = "the disk takes no writes"});
     }
     instance.proposals.clear();
   }
@@ -474,6 +517,7 @@
   replica.self = config.self;
   replica.control_instances = config.seeds;
   replica.open_membership = true;
+  replica.lease = kLease;
   replica.least_voters = 2 * config.tolerated_losses + 1;
   for (const wire::DurableRecord& record : log) {
     Restore(instance.replica, record);
@@ -492,8 +536,8 @@
 
 TimePoint NextDue(const ControlInstance& instance) {
   const Replica& replica = instance.replica;
-  TimePoint due = std::min({instance.subscribe_at, instance.push_at,
-                            instance.housekeeping_at});
+  TimePoint due = std::min(
+      {instance.subscribe_at, instance.push_at, instance.housekeeping_at});
   if (!instance.disk_failed) {
     const bool leads = replica.role == ReplicaRole::kLeader;
     const TimePoint follower_due =
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -59,7 +59,7 @@
   RouteHistory history;
   std::map<InstanceAddress, Subscriber> subscribers;
   std::map<InstanceAddress, RegistrySource> sources;
-  std::map<std::uint64_t, CallId> proposals;   ///< Token to call.
+  std::map<std::uint64_t, CallId> proposals;  ///< Token to call.
   std::deque<WaitingSubmission> submissions;  ///< Until a leader is known.
   std::deque<WaitingReport> reports;
   std::uint64_t next_token = 1;
@@ -67,12 +67,17 @@
   TimePoint subscribe_at;
   TimePoint push_at;  ///< Far in the future when nothing is to be pushed.
   TimePoint housekeeping_at;
+  TimePoint save_at;
+  std::uint64_t saved_change = 0;  ///< The registry's change last saved.
   bool settled = false;  ///< Knows the backend servers since its start.
   bool stopping = false;
   bool disk_failed = false;  ///< Takes no part in agreement meanwhile.
 };
 
-struct ControlInstanceStarted {};
+/// `saved` is what the disk remembers of backend servers, if anything.
+struct ControlInstanceStarted {
+  wire::SavedRegistry saved;
+};
 struct ControlInstanceDue {};
 /// A backend server says what it is and how it is.
 struct ServerReported {
@@ -118,8 +123,14 @@
 struct PersistRecord {
   wire::DurableRecord record;
 };
+/// Keeps the backend servers for the next start. Nothing relies on it: what is
+/// saved counts only until the servers have had time to report.
+struct SaveRegistry {
+  wire::SavedRegistry saved;
+};
 using ControlInstanceEffect =
-    std::variant<SendMessage, AnswerCall, PersistRecord, LogRecord>;
+    std::variant<SendMessage, AnswerCall, PersistRecord, SaveRegistry,
+                 LogRecord>;
 
 /// Makes an instance from what its disk holds.
 ControlInstance MakeControlInstance(
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -8,7 +8,7 @@
 constexpr Milliseconds kPollInterval{400};
 /// Without word of the newest rules for this long, all are asked.
 constexpr Milliseconds kFreshLimit{900};
-constexpr Milliseconds kUrgentPollInterval{150};
+constexpr Milliseconds kUrgentPollInterval{100};
 constexpr Milliseconds kHousekeepingInterval{1000};
 /// Longer than any flow lives, so that its token can be resolved.
 constexpr Milliseconds kGoneRetention{90000};
@@ -110,9 +110,45 @@
             " base=" + std::to_string(update.routes().base_version()) +
             " routes=" + std::to_string(forwarder.routes.routes.size()));
   }
-  const bool newest = update.fresh() && update.rules_version() > 0 &&
-                      forwarder.routes.version >= update.rules_version();
-  instance.rules_confirmed = instance.rules_confirmed || newest;
+}
+
+/// Whether a majority of the control instances has stored nothing newer than
+/// what is in force here. An accepted version is stored by a majority, so one
+/// of these would know it. The set of voters is that of whoever knows most.
+bool IsConfirmedByMajority(const EntryInstance& instance) {
+  const ControlSource* latest = nullptr;
+  for (const auto& [address, source] : instance.sources) {
+    if (source.voter && (latest == nullptr || source.seq > latest->seq)) {
+      latest = &source;
+    }
+  }
+  if (latest == nullptr || instance.forwarder.routes.version == 0) {
+    return false;
+  }
+  std::size_t agreeing = 0;
+  for (const InstanceAddress voter : latest->voters) {
+    const auto source = instance.sources.find(voter);
+    const bool heard = source != instance.sources.end() && source->second.voter;
+    if (!heard) {
+      continue;
+    }
+    if (source->second.newest_version > instance.forwarder.routes.version) {
+      return false;
+    }
+    agreeing += 1;
+  }
+  return 2 * agreeing > latest->voters.size();
+}
+
+void ConfirmRules(Turn& turn, const wire::Update& update) {
+  EntryInstance& instance = turn.instance;
+  if (instance.rules_confirmed) {
+    return;
+  }
+  const bool by_leader =
+      update.fresh() && update.rules_version() > 0 &&
+      instance.forwarder.routes.version >= update.rules_version();
+  instance.rules_confirmed = by_leader || IsConfirmedByMajority(instance);
 }
 
 /// Prefers a fresh source in the own data centre, then the one it has.
@@ -120,10 +156,9 @@
                    const ControlSource& source) {
   EntryInstance& instance = turn.instance;
   const bool local = source.data_centre == instance.config.data_centre;
-  const bool has_local =
-      instance.primary != 0 &&
-      instance.sources.at(instance.primary).data_centre ==
-          instance.config.data_centre;
+  const bool has_local = instance.primary != 0 &&
+                         instance.sources.at(instance.primary).data_centre ==
+                             instance.config.data_centre;
   if (instance.primary == 0 || (local && !has_local)) {
     instance.primary = from;
     Log(turn, EventId::kControlFound,
@@ -140,6 +175,12 @@
   ControlSource& source = instance.sources[from];
   source.heard_at = turn.now;
   source.data_centre = update.data_centre();
+  source.voter = update.voter();
+  source.seq = update.seq();
+  source.newest_version =
+      std::max(update.rules_version(), update.pending_version());
+  source.voters.assign(update.control_instances().begin(),
+                       update.control_instances().end());
   TakeServers(turn, update);
   const bool follows = update.registry_epoch() == source.epoch
                            ? update.registry_from() <= source.change
@@ -150,6 +191,7 @@
   }
   instance.servers_known = instance.servers_known || update.settled();
   TakeRoutes(turn, update);
+  ConfirmRules(turn, update);
   if (update.fresh()) {
     source.fresh_at = turn.now;
     ChoosePrimary(turn, from, source);
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -25,7 +25,10 @@
   std::string data_centre;
   TimePoint heard_at;
   TimePoint fresh_at;  ///< Last time that it knew the newest rules.
-  bool heard = false;
+  bool voter = false;
+  std::uint64_t seq = 0;                ///< Committed entries that it knew.
+  std::uint64_t newest_version = 0;     ///< Committed there, or stored only.
+  std::vector<InstanceAddress> voters;  ///< By what it has committed.
 };
 
 struct EntryInstance {
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -22,8 +22,8 @@
 struct FleetConfig {
   InstanceAddress self = 0;
   std::string data_centre;
-  std::set<InstanceAddress> seeds;  ///< Control instances to ask first.
-  std::uint32_t tolerated_losses = 1;  ///< Disks that may be lost at once.
+  std::set<InstanceAddress> seeds;       ///< Control instances to ask first.
+  std::uint32_t tolerated_losses = 1;    ///< Disks that may be lost at once.
   Milliseconds announce_interval{1000};  ///< Between a server's reports.
   std::uint64_t incarnation = 0;         ///< Differs at each start.
 };
--- a/Source/Fleet/Submissions.cc
+++ b/Source/Fleet/Submissions.cc
@@ -30,8 +30,7 @@
     Answer(turn, Accepted(call));
     return true;
   }
-  if (instance.replica.role == ReplicaRole::kLeader &&
-      !instance.disk_failed) {
+  if (instance.replica.role == ReplicaRole::kLeader && !instance.disk_failed) {
     const std::uint64_t token = instance.next_token++;
     instance.proposals[token] = call;
     ControlSubmitted submitted{.token = token};
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -22,8 +22,8 @@
     return;
   }
   const TimePoint expires_at = now + route.timeout + kExpiryMargin;
-  forwarder.flows[packet.key] = OpenFlow{
-      .server = server, .opened_at = now, .expires_at = expires_at};
+  forwarder.flows[packet.key] =
+      OpenFlow{.server = server, .opened_at = now, .expires_at = expires_at};
   forwarder.expiries.emplace_back(expires_at, packet.key);
   NoteOpening(forwarder.placement.servers[server], now);
 }
@@ -49,8 +49,7 @@
   }
   const ServiceIndex service =
       ServiceOf(route->second, FlowKeyHash()(packet.key));
-  const auto server =
-      ChooseServer(forwarder.placement, service, except, now);
+  const auto server = ChooseServer(forwarder.placement, service, except, now);
   if (!server) {
     forwarder.counters.no_server += 1;
     return Reset(ForwardReason::kNoServer);
@@ -58,15 +57,14 @@
   Remember(forwarder, packet, *server, route->second, now);
   forwarder.counters.placed += 1;
   forwarder.counters.placed_again += except ? 1 : 0;
-  return Decision{.verdict = Verdict::kForward,
-                  .reason = except ? ForwardReason::kPlacedAgain
-                                   : ForwardReason::kPlaced,
-                  .server = *server};
+  return Decision{
+      .verdict = Verdict::kForward,
+      .reason = except ? ForwardReason::kPlacedAgain : ForwardReason::kPlaced,
+      .server = *server};
 }
 
 /// Keeps the counts of placement right with what a later packet shows.
-void NotePacket(Forwarder& forwarder, const FlowPacket& packet,
-                TimePoint now) {
+void NotePacket(Forwarder& forwarder, const FlowPacket& packet, TimePoint now) {
   const auto known = forwarder.flows.find(packet.key);
   if (known == forwarder.flows.end()) {
     return;
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -32,9 +32,9 @@
 /// What a packet from a caller says to the forwarder.
 struct FlowPacket {
   FlowKey key;
-  bool opens = false;    ///< The first packet of a flow, or a copy of it.
-  bool closes = false;   ///< The caller sends nothing after it.
-  bool aborts = false;   ///< The caller has reset the flow.
+  bool opens = false;        ///< The first packet of a flow, or a copy of it.
+  bool closes = false;       ///< The caller sends nothing after it.
+  bool aborts = false;       ///< The caller has reset the flow.
   std::uint32_t copies = 0;  ///< Of an opening packet, sent before this one.
   std::uint32_t token = 0;
 };
@@ -43,14 +43,14 @@
 
 /// Why a packet was not forwarded, or where a new flow goes.
 enum class ForwardReason {
-  kToken,           ///< Forwarded by its token.
-  kPlaced,          ///< A new flow was placed.
-  kPlacedAgain,     ///< Its first server did not answer.
-  kNoRoute,         ///< No rule for the address.
-  kRouteDropped,    ///< The rules in force have dropped the address.
-  kUnknownToken,    ///< No server with this token is known.
-  kNoServer,        ///< The service has no server that may take it.
-  kNotServing,      ///< This instance does not know the newest rules yet.
+  kToken,         ///< Forwarded by its token.
+  kPlaced,        ///< A new flow was placed.
+  kPlacedAgain,   ///< Its first server did not answer.
+  kNoRoute,       ///< No rule for the address.
+  kRouteDropped,  ///< The rules in force have dropped the address.
+  kUnknownToken,  ///< No server with this token is known.
+  kNoServer,      ///< The service has no server that may take it.
+  kNotServing,    ///< This instance does not know the newest rules yet.
 };
 
 struct Decision {
--- a/Source/Forwarding/RouteTable.cc
+++ b/Source/Forwarding/RouteTable.cc
@@ -33,9 +33,8 @@
     before.swap(table.routes);
   }
   for (const wire::Route& route : update.set()) {
-    const RouteKey key =
-        KeyOf(Endpoint{.ip = route.ip(),
-                       .port = static_cast<std::uint16_t>(route.port())});
+    const RouteKey key = KeyOf(Endpoint{
+        .ip = route.ip(), .port = static_cast<std::uint16_t>(route.port())});
     table.routes[key] = MakeEntry(route, placement);
     table.dropped.erase(key);
   }
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -99,9 +99,8 @@
     server.usable = false;
     return;
   }
-  server.address =
-      Endpoint{.ip = record.ip(),
-               .port = static_cast<std::uint16_t>(record.port())};
+  server.address = Endpoint{.ip = record.ip(),
+                            .port = static_cast<std::uint16_t>(record.port())};
   server.service = InternService(placement, record.service());
   server.slots = std::max<std::uint32_t>(1, record.slots());
   server.local = record.data_centre() == placement.config.data_centre;
@@ -206,8 +205,8 @@
   server.duration_ms =
       server.duration_ms == 0
           ? measured
-          : server.duration_ms + kDurationWeight *
-                                     (measured - server.duration_ms);
+          : server.duration_ms +
+                kDurationWeight * (measured - server.duration_ms);
 }
 
 }  // namespace filbertwall
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -34,10 +34,10 @@
   bool usable = false;  ///< May take new flows.
   TimePoint warm_at;    ///< Works slowly until then.
 
-  std::uint32_t in_flight = 0;  ///< Flows of this instance.
-  std::uint32_t unanswered = 0;    ///< Opening packets without a follow-up.
-  TimePoint unanswered_since;      ///< The first of them.
-  TimePoint answered_at;           ///< Last opening that was answered.
+  std::uint32_t in_flight = 0;   ///< Flows of this instance.
+  std::uint32_t unanswered = 0;  ///< Opening packets without a follow-up.
+  TimePoint unanswered_since;    ///< The first of them.
+  TimePoint answered_at;         ///< Last opening that was answered.
   TimePoint avoid_until;
   std::uint32_t failures_in_row = 0;
   double duration_ms = 0;  ///< Moving average of its flows; 0: not known.
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -34,8 +34,8 @@
 }
 
 std::uint32_t WarmupLeft(const Server& server, TimePoint now) {
-  const std::int64_t left = server.record.warmup_ms() -
-                            MillisecondsBetween(server.stated_at, now);
+  const std::int64_t left =
+      server.record.warmup_ms() - MillisecondsBetween(server.stated_at, now);
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, left));
 }
 
@@ -113,8 +113,8 @@
 void ForgetGone(Registry& registry, Milliseconds limit, TimePoint now) {
   std::erase_if(registry.servers, [&](const auto& item) {
     const Server& server = item.second;
-    const bool over = server.record.phase() == wire::SERVER_GONE ||
-                      server.record.silent();
+    const bool over =
+        server.record.phase() == wire::SERVER_GONE || server.record.silent();
     return over && now - std::max(server.stated_at, server.heard_at) > limit;
   });
 }
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -9,7 +9,8 @@
 #include "Base/Time.h"
 #include "Wire/registry.pb.h"
 
-/// What an instance knows of backend servers that tell their id and incarnation.
+/// What an instance knows of backend servers that tell their id and
+/// incarnation.
 ///
 /// Records merge in any order to the same result: a later incarnation goes
 /// before an earlier one, then a later sequence; an incarnation that is gone
--- a/Source/Rules/Rules.h
+++ b/Source/Rules/Rules.h
@@ -58,7 +58,7 @@
   std::string name;  ///< For operators; may be empty.
   RouteKind kind = RouteKind::kUnsafe;
   Milliseconds timeout{2000};
-  Milliseconds objective{0};  ///< Latency objective; 0: none.
+  Milliseconds objective{0};   ///< Latency objective; 0: none.
   std::uint32_t priority = 0;  ///< 0 is the highest.
   std::uint32_t attempts = 1;
   bool operator==(const RouteTreatment&) const = default;
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -116,8 +116,7 @@
   const auto duration = ParseDuration(option->second);
   if (!duration || *duration < least) {
     Report(parser, key + "=" + option->second,
-           "a duration from " + std::to_string(least.count()) +
-               "ms to 3600s");
+           "a duration from " + std::to_string(least.count()) + "ms to 3600s");
     return;
   }
   target = *duration;
@@ -170,8 +169,7 @@
   ServiceRule rule{.name = words[1], .origin = parser.origin};
   TakeText(options, "health", rule.details.health_path);
   TakeText(options, "application", rule.details.application);
-  TakeNumber(parser, options, "flows", 0, kMostNumber,
-             rule.details.flow_limit);
+  TakeNumber(parser, options, "flows", 0, kMostNumber, rule.details.flow_limit);
   TakeChoice<bool>(parser, options, "tls", {{"yes", true}, {"no", false}},
                    rule.details.tls);
   TakeChoice<Protocol>(
@@ -185,9 +183,9 @@
   const auto [position, added] =
       parser.result.rules.services.emplace(rule.name, rule);
   const ServiceRule& first = position->second;
-  if (!added && (first.protocol != rule.protocol ||
-                 first.preference != rule.preference ||
-                 first.details != rule.details)) {
+  if (!added &&
+      (first.protocol != rule.protocol || first.preference != rule.preference ||
+       first.details != rule.details)) {
     ReportConflict(parser, first.origin);
   }
 }
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -35,9 +35,9 @@
 /// A fleet's instances find each other at run time, by control instances that
 /// the settings name.
 struct FleetSettings {
-  std::vector<Endpoint> seeds;  ///< Control instances; empty: no fleet.
-  bool first_start = false;     ///< No instance of the fleet ran before.
-  std::uint32_t tolerated_losses = 1;    ///< Disks that may be lost at once.
+  std::vector<Endpoint> seeds;         ///< Control instances; empty: no fleet.
+  bool first_start = false;            ///< No instance of the fleet ran before.
+  std::uint32_t tolerated_losses = 1;  ///< Disks that may be lost at once.
   Milliseconds announce_interval{1000};  ///< Between a server's reports.
   std::uint16_t metrics_port = 0;        ///< 0: no metrics are served.
 };
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -19,6 +19,7 @@
 constexpr Milliseconds kSettingsInterval{2000};
 constexpr Milliseconds kDiskRetryInterval{300};
 constexpr Milliseconds kStopDelay{300};
+constexpr char kRegistryName[] = "/servers.saved";
 
 std::uint64_t RandomNumber() {
   std::random_device source;
@@ -47,6 +48,7 @@
   void operator()(const LogRecord& effect) { WriteLog(effect); }
   void operator()(const AnswerCall& effect);
   void operator()(const PersistRecord& effect);
+  void operator()(const SaveRegistry& effect);
 
   // Calls, by visitation, with the call's id.
   void Start(CallId id, const ReportCall& call);
@@ -57,6 +59,8 @@
 
  private:
   bool OpenPorts();
+  /// Empty when there is none, or none that can be read.
+  wire::SavedRegistry LoadRegistry() const;
   void ConnectSignals();
   /// The records on disk, after a first one if there were none; empty when the
   /// disk does not work.
@@ -103,8 +107,8 @@
   std::vector<wire::DurableRecord> records =
       std::move(contents.value().records);
   if (records.empty()) {
-    const wire::DurableRecord first = FirstRecord(
-        this->instance.config, this->settings.fleet.first_start);
+    const wire::DurableRecord first =
+        FirstRecord(this->instance.config, this->settings.fleet.first_start);
     const auto appended = this->store->Append(first);
     if (!appended) {
       WriteLog({.id = EventId::kSyncFailed,
@@ -170,7 +174,7 @@
     this->disk_retry_at = FleetNow() + kDiskRetryInterval;
     this->instance.disk_failed = true;
   }
-  this->Handle(ControlInstanceStarted{});
+  this->Handle(ControlInstanceStarted{.saved = this->LoadRegistry()});
   this->loop.Run();
   return RunError::kNone;
 }
@@ -230,9 +234,8 @@
 }
 
 void ControlRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
-  const HttpCall http_call{.method = request.method,
-                           .path = request.path,
-                           .body = request.body};
+  const HttpCall http_call{
+      .method = request.method, .path = request.path, .body = request.body};
   const auto [position, added] = this->calls.emplace(
       id, OpenCall{.request = http_call,
                    .call = this->adapter.calls.read(http_call)});
@@ -258,10 +261,10 @@
 }
 
 void ControlRuntime::Start(CallId id, const MalformedCall& call) {
-  WriteLog({.id = EventId::kMalformedInput,
-            .severity = Severity::kWarning,
-            .text = "call=" + this->calls.at(id).request.path + " " +
-                    call.reason});
+  WriteLog(
+      {.id = EventId::kMalformedInput,
+       .severity = Severity::kWarning,
+       .text = "call=" + this->calls.at(id).request.path + " " + call.reason});
   (*this)(AnswerCall{.call = id, .verdict = CallVerdict::kRefused});
 }
 
@@ -277,9 +280,10 @@
   const bool report = std::holds_alternative<ReportCall>(open.call);
   if (!report || effect.verdict != CallVerdict::kAccepted) {
     WriteLog({.id = EventId::kSubmission,
-              .text = "call=" + open.request.path + " status=" +
-                      std::to_string(answer.status()) + " leader=" +
-                      FormatIp(effect.leader) + " " + effect.reason});
+              .text = "call=" + open.request.path +
+                      " status=" + std::to_string(answer.status()) +
+                      " leader=" + FormatIp(effect.leader) + " " +
+                      effect.reason});
   }
   this->http.Answer(effect.call, answer);
 }
@@ -294,6 +298,32 @@
   }
 }
 
+void ControlRuntime::operator()(const SaveRegistry& effect) {
+  const auto saved = SaveFile(this->settings.data_folder + kRegistryName,
+                              effect.saved.SerializeAsString());
+  if (!saved) {
+    WriteLog({.id = EventId::kRegistryNotSaved,
+              .severity = Severity::kWarning,
+              .text = saved.error().detail});
+  }
+}
+
+wire::SavedRegistry ControlRuntime::LoadRegistry() const {
+  wire::SavedRegistry saved;
+  const std::string path = this->settings.data_folder + kRegistryName;
+  if (!std::filesystem::exists(path)) {
+    return saved;
+  }
+  const auto bytes = LoadFile(path);
+  if (!bytes || !saved.ParseFromString(bytes.value())) {
+    WriteLog({.id = EventId::kRegistryNotSaved,
+              .severity = Severity::kWarning,
+              .text = path + " can't be read"});
+    saved.Clear();
+  }
+  return saved;
+}
+
 void ControlRuntime::ReloadSettings() {
   const auto fresh = this->file.Reload();
   if (!fresh) {
@@ -301,9 +331,9 @@
   }
   this->instance.config.seeds =
       MakeFleetConfig(*fresh, this->instance.config.incarnation).seeds;
-  WriteLog({.id = EventId::kSettingsReloaded,
-            .text = "seeds=" +
-                    std::to_string(this->instance.config.seeds.size())});
+  WriteLog(
+      {.id = EventId::kSettingsReloaded,
+       .text = "seeds=" + std::to_string(this->instance.config.seeds.size())});
 }
 
 }  // namespace
--- a/Source/Shell/DatagramPort.cc
+++ b/Source/Shell/DatagramPort.cc
@@ -66,16 +66,16 @@
     header.msg_iov = &this->vectors[i];
     header.msg_iovlen = 1;
   }
-  const int count = recvmmsg(this->fd, this->incoming.data(), kBatch,
-                             MSG_DONTWAIT, nullptr);
+  const int count =
+      recvmmsg(this->fd, this->incoming.data(), kBatch, MSG_DONTWAIT, nullptr);
   if (count <= 0) {
     return 0;
   }
   const auto size = static_cast<std::size_t>(count);
   for (std::size_t i = 0; i < size; ++i) {
-    this->received[i] = {.from = FromSystem(this->senders[i]),
-                         .bytes = std::span(this->buffers[i].data(),
-                                            this->incoming[i].msg_len)};
+    this->received[i] = {
+        .from = FromSystem(this->senders[i]),
+        .bytes = std::span(this->buffers[i].data(), this->incoming[i].msg_len)};
   }
   this->on_batch.emit(std::span(this->received.data(), size));
   this->Flush();
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -171,8 +171,7 @@
               .text = "a packet from " + FormatEndpoint(datagram.from)});
     return;
   }
-  const Decision decision =
-      DecidePacket(this->instance.forwarder, packet, now);
+  const Decision decision = DecidePacket(this->instance.forwarder, packet, now);
   if (decision.reason != ForwardReason::kToken) {
     this->LogDecision(packet, decision);
   }
@@ -230,20 +229,19 @@
     return;
   }
   this->Handle(SeedsChanged{
-      .seeds = MakeFleetConfig(*fresh, this->instance.config.incarnation)
-                   .seeds});
+      .seeds =
+          MakeFleetConfig(*fresh, this->instance.config.incarnation).seeds});
 }
 
 }  // namespace
 
 FleetConfig MakeFleetConfig(const Settings& settings,
                             std::uint64_t incarnation) {
-  FleetConfig config{
-      .self = settings.control_address.ip,
-      .data_centre = settings.data_centre,
-      .tolerated_losses = settings.fleet.tolerated_losses,
-      .announce_interval = settings.fleet.announce_interval,
-      .incarnation = incarnation};
+  FleetConfig config{.self = settings.control_address.ip,
+                     .data_centre = settings.data_centre,
+                     .tolerated_losses = settings.fleet.tolerated_losses,
+                     .announce_interval = settings.fleet.announce_interval,
+                     .incarnation = incarnation};
   for (const Endpoint& seed : settings.fleet.seeds) {
     config.seeds.insert(seed.ip);
   }
--- a/Source/Shell/FleetLink.cc
+++ b/Source/Shell/FleetLink.cc
@@ -12,10 +12,9 @@
 }
 
 FleetLink::FleetLink(event_base* base) : port(base) {
-  this->port.on_batch.connect(
-      [this](std::span<const ReceivedDatagram> batch) {
-        this->TakeBatch(batch);
-      });
+  this->port.on_batch.connect([this](std::span<const ReceivedDatagram> batch) {
+    this->TakeBatch(batch);
+  });
 }
 
 bool FleetLink::Start(const Endpoint& address) {
--- a/Source/Transport/Fragments.cc
+++ b/Source/Transport/Fragments.cc
@@ -57,10 +57,10 @@
   const auto plain_length = static_cast<std::uint32_t>(message.size());
   std::string bytes(sizeof(plain_length) + length, '\0');
   std::memcpy(bytes.data(), &plain_length, sizeof(plain_length));
-  const int result = compress2(
-      reinterpret_cast<Bytef*>(bytes.data() + sizeof(plain_length)), &length,
-      reinterpret_cast<const Bytef*>(message.data()), message.size(),
-      Z_BEST_SPEED);
+  const int result =
+      compress2(reinterpret_cast<Bytef*>(bytes.data() + sizeof(plain_length)),
+                &length, reinterpret_cast<const Bytef*>(message.data()),
+                message.size(), Z_BEST_SPEED);
   bytes.resize(sizeof(plain_length) + length);
   if (result != Z_OK || bytes.size() >= message.size()) {
     bytes.clear();
@@ -141,12 +141,13 @@
     auto found = this->partials.find(key);
     if (found == this->partials.end()) {
       this->DropOld(now);
-      found = this->partials
-                  .emplace(key, Partial{.parts = std::vector<std::string>(
-                                            header->count),
-                                        .missing = header->count,
-                                        .started_at = now})
-                  .first;
+      found =
+          this->partials
+              .emplace(key,
+                       Partial{.parts = std::vector<std::string>(header->count),
+                               .missing = header->count,
+                               .started_at = now})
+              .first;
     }
     Partial& partial = found->second;
     if (partial.parts.size() != header->count || whole.empty()) {
