--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -17,7 +17,7 @@
   const std::uint64_t hash =
       MixHash(MixHash(replica.config.self, replica.incarnation),
               replica.highest_round_seen);
-  return Milliseconds(hash % replica.config.lease.count());
+  return Milliseconds(hash % replica.config.election_spread.count());
 }
 
 /// A frozen process may wake long after its lease; nothing else comes first.
@@ -49,7 +49,7 @@
   Replica& replica = turn.replica;
   replica.leaderless_since = turn.now;
   // The lease that was granted before a restart is not on disk.
-  replica.lease_granted_until = turn.now + replica.config.lease;
+  replica.lease_granted_until = turn.now + replica.config.restart_wait;
   replica.election_at = replica.lease_granted_until + ElectionJitter(replica);
   const bool alone = IsVoter(replica) && replica.committed.members_size() == 1;
   if (alone) {
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -32,6 +32,12 @@
   Milliseconds heartbeat_interval{100};
   Milliseconds lease{1000};
   Milliseconds join_interval{300};
+  /// After a start no vote is given for this long, so that a living leader is
+  /// heard first. Less than the lease: a leader that is cut off may then still
+  /// claim to lead, for what is left of its lease, beside a new one.
+  Milliseconds restart_wait{1000};
+  /// Elections of several replicas are spread over this time.
+  Milliseconds election_spread{1000};
 };
 
 enum class ReplicaRole { kFollower, kCandidate, kLeader };
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kGoneRetention{90000};
 constexpr Milliseconds kSaveInterval{1000};
 constexpr Milliseconds kLease{600};
+constexpr Milliseconds kRestartWait{250};
+constexpr Milliseconds kElectionSpread{250};
 constexpr int kIntervalsUntilSilent = 5;
 constexpr int kIntervalsUntilSettled = 2;
 constexpr TimePoint kNever = TimePoint::max();
@@ -518,6 +520,8 @@
   replica.control_instances = config.seeds;
   replica.open_membership = true;
   replica.lease = kLease;
+  replica.restart_wait = kRestartWait;
+  replica.election_spread = kElectionSpread;
   replica.least_voters = 2 * config.tolerated_losses + 1;
   for (const wire::DurableRecord& record : log) {
     Restore(instance.replica, record);
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -8,7 +8,9 @@
 constexpr Milliseconds kPollInterval{400};
 /// Without word of the newest rules for this long, all are asked.
 constexpr Milliseconds kFreshLimit{900};
-constexpr Milliseconds kUrgentPollInterval{100};
+/// The first of the intervals at which all are asked; each is twice the last.
+constexpr Milliseconds kShortestUrgentInterval{40};
+constexpr Milliseconds kLongestUrgentInterval{320};
 constexpr Milliseconds kHousekeepingInterval{1000};
 /// Longer than any flow lives, so that its token can be resolved.
 constexpr Milliseconds kGoneRetention{90000};
@@ -57,8 +59,11 @@
             std::to_string(MillisecondsBetween(instance.fresh_at, turn.now)),
         Severity::kWarning);
     instance.primary = 0;
+    instance.urgent_interval = kShortestUrgentInterval;
   }
-  instance.poll_at = turn.now + kUrgentPollInterval;
+  instance.poll_at = turn.now + instance.urgent_interval;
+  instance.urgent_interval =
+      std::min(instance.urgent_interval * 2, kLongestUrgentInterval);
   for (const InstanceAddress seed : instance.config.seeds) {
     instance.sources.try_emplace(seed);
   }
@@ -256,6 +261,7 @@
 
 EntryInstance MakeEntryInstance(const FleetConfig& config) {
   EntryInstance instance{.config = config};
+  instance.urgent_interval = kShortestUrgentInterval;
   instance.forwarder.placement.config = {.data_centre = config.data_centre,
                                          .seed = config.incarnation};
   return instance;
