Control: Let voters follow replacements, and removed ones return

Cause: found by new tests of open membership. A voter that was removed while it was away had promised higher ballots and ignored every install; a new leader took a dead voter for living, so its successor raised the number of voters and the dead one stayed for 20 s. Change: an install that names the receiver as removed is always adopted; a voter counts as living only once its leader has heard it, within 250 ms.

--- a/Source/Control/ReplicaElection.cc
+++ b/Source/Control/ReplicaElection.cc
@@ -31,7 +31,9 @@
   replica.elected_at = turn.now;
   replica.acked.clear();
   for (const wire::Member& member : replica.committed.members()) {
-    replica.heard.try_emplace(member.instance(), turn.now);
+    // Not heard yet as a leader: neither living nor silent for long.
+    replica.heard.try_emplace(member.instance(),
+                              turn.now - kLivingLimit - Milliseconds(1));
   }
   const std::optional<wire::Entry> undecided = HighestTip(replica);
   replica.promises.clear();
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -257,7 +257,12 @@
 void HandleInstall(ReplicaTurn& turn, std::uint32_t from,
                    const wire::Install& install) {
   Replica& replica = turn.replica;
-  if (!Obey(turn, from, install.ballot())) {
+  // One that was removed may have promised ballots that the others never heard
+  // of; what is committed holds all the same.
+  const bool removed =
+      replica.config.open_membership &&
+      WasRemoved(install.state(), replica.config.self, replica.incarnation);
+  if (!Obey(turn, from, install.ballot()) && !removed) {
     return;
   }
   if (install.state().seq() > replica.committed.seq() ||
@@ -272,7 +277,6 @@
   const Replica& replica = turn.replica;
   std::uint32_t living = 1;
   for (const wire::Member& member : replica.committed.members()) {
-    constexpr Milliseconds kLivingLimit{1000};
     const auto heard = replica.heard.find(member.instance());
     const bool lives = member.instance() != replica.config.self &&
                        member.instance() != instance &&
--- a/Source/Control/ReplicaTurn.h
+++ b/Source/Control/ReplicaTurn.h
@@ -7,6 +7,9 @@
 /// Internal to Control: the steps that its reducers share.
 namespace filbertwall {
 
+/// A voter that was heard within this time counts as living.
+inline constexpr Milliseconds kLivingLimit{250};
+
 /// One run of the reducer.
 struct ReplicaTurn {
   Replica& replica;
--- /dev/null
+++ b/Tests/Control/FleetReplicaTest.cc
@@ -0,0 +1,150 @@
+#include "ReplicaGroup.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace filbertwall;
+
+namespace {
+
+constexpr std::uint32_t kFounders = 3;
+
+std::set<std::uint32_t> MembersOf(const Group& group) {
+  std::set<std::uint32_t> members;
+  const std::uint32_t leader = LeaderOf(group);
+  for (const wire::Member& member :
+       group.replicas.at(leader).committed.members()) {
+    members.insert(member.instance());
+  }
+  return members;
+}
+
+/// Random faults, with an instance replaced for good between two settlings.
+std::string ExploreFleet(std::uint64_t seed) {
+  Group group = MakeFleet(seed, kFounders, 4);
+  Settle(group);
+  constexpr int kRounds = 5;
+  constexpr int kSteps = 250;
+  for (int round = 0; round < kRounds && group.violation.empty(); ++round) {
+    const bool replaces = Below(group, 2) == 0;
+    int disks_to_lose = replaces ? 0 : 1;
+    if (replaces) {
+      ReplaceInstance(group, RandomInstance(group));
+    }
+    for (int step = 0; step < kSteps; ++step) {
+      Step(group, disks_to_lose);
+    }
+    Settle(group);
+    Settle(group);
+    CheckVerdicts(group);
+    CheckConverged(group);
+    const std::uint64_t before = HighestVersion(group);
+    const std::uint32_t leader = LeaderOf(group);
+    if (leader == 0) {
+      Violate(group, "no leader in round " + std::to_string(round));
+      break;
+    }
+    Submit(group, leader, before + 1, "probe");
+    Settle(group);
+    if (HighestVersion(group) != before + 1) {
+      Violate(group, "no change is accepted in round " + std::to_string(round));
+    }
+  }
+  return group.violation.empty()
+             ? ""
+             : "seed " + std::to_string(seed) + ": " + group.violation;
+}
+
+}  // namespace
+
+TEST_GROUP(FleetReplica){};
+
+TEST(FleetReplica, FoundersAndLaterOnesFormOneCluster) {
+  Group group = MakeFleet(1, kFounders, 5);
+  Settle(group);
+  const std::uint64_t cluster = group.replicas.at(1).committed.cluster();
+  CHECK(cluster != 0);
+  for (const auto& [id, replica] : group.replicas) {
+    CHECK(IsVoter(replica));
+    CHECK_EQUAL(cluster, replica.committed.cluster());
+  }
+  LONGS_EQUAL(5, MembersOf(group).size());
+}
+
+TEST(FleetReplica, EmptyDisksAloneFoundNothing) {
+  Group group = MakeFleet(1, 0, 3);
+  Settle(group);
+  LONGS_EQUAL(0, LeaderOf(group));
+  for (const auto& [id, replica] : group.replicas) {
+    CHECK_EQUAL(0, replica.committed.cluster());
+  }
+}
+
+TEST(FleetReplica, SuccessorTakesThePlaceOfAVoterThatIsGone) {
+  Group group = MakeFleet(2, kFounders, 4);
+  Settle(group);
+  const std::uint32_t gone = LeaderOf(group) == 2 ? 3 : 2;
+  const std::uint32_t fresh = ReplaceInstance(group, gone);
+  Settle(group);
+  Settle(group);
+  CHECK(MembersOf(group) ==
+        (std::set<std::uint32_t>{1, gone == 2 ? 3U : 2U, 4, fresh}));
+}
+
+TEST(FleetReplica, EachInstanceMayBeReplacedInTurn) {
+  Group group = MakeFleet(3, kFounders, 4);
+  Settle(group);
+  for (std::uint32_t id = 1; id <= 4; ++id) {
+    Submit(group, LeaderOf(group), id, "a");
+    ReplaceInstance(group, id);
+    Settle(group);
+    Settle(group);
+  }
+  CheckConverged(group);
+  STRCMP_EQUAL("", group.violation.c_str());
+  CHECK(MembersOf(group) == (std::set<std::uint32_t>{5, 6, 7, 8}));
+}
+
+TEST(FleetReplica, SilentVotersAreKeptWhenTooFewWouldBeLeft) {
+  Group group = MakeFleet(4, kFounders, kFounders);
+  Settle(group);
+  const std::uint32_t gone = LeaderOf(group) == 2 ? 3 : 2;
+  group.replicas.erase(gone);
+  for (int i = 0; i < 5; ++i) {
+    Settle(group);
+  }
+  LONGS_EQUAL(kFounders, MembersOf(group).size());
+}
+
+TEST(FleetReplica, RemovedVoterReturnsAsAnotherIncarnation) {
+  Group group = MakeFleet(5, kFounders, 4);
+  Settle(group);
+  const std::uint32_t away = LeaderOf(group) == 2 ? 3 : 2;
+  const std::uint64_t incarnation = group.replicas.at(away).incarnation;
+  const Replica asleep = group.replicas.at(away);
+  group.replicas.erase(away);
+  for (int i = 0; i < 4; ++i) {
+    Settle(group);
+  }
+  LONGS_EQUAL(kFounders, MembersOf(group).size());
+  group.replicas[away] = asleep;
+  Settle(group);
+  Settle(group);
+  LONGS_EQUAL(4, MembersOf(group).size());
+  CHECK(group.replicas.at(away).incarnation != incarnation);
+}
+
+TEST(FleetReplica, FollowerSpeaksForTheLeaderOnlyWhileItHearsIt) {
+  Group group = MakeFleet(6, kFounders, kFounders);
+  Settle(group);
+  const std::uint32_t follower = LeaderOf(group) == 2 ? 3 : 2;
+  const Replica& replica = group.replicas.at(follower);
+  constexpr Milliseconds kLimit{400};
+  CHECK(KnowsNewest(replica, group.now, kLimit));
+  CHECK_FALSE(KnowsNewest(replica, group.now + Milliseconds(600), kLimit));
+}
+
+TEST(FleetReplica, RandomHistoriesWithReplacementsKeepAcceptedFiles) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    STRCMP_EQUAL("", ExploreFleet(seed).c_str());
+  }
+}
