Fleet, Shell: Metrics, logs that never block, and brief questions after a restart

Cause: on-call engineers have logs and metrics only; a log line could wait for its reader, and there were no metrics. After a loss of all power on the grown site, each entry instance asked every control instance for all servers and routes, at growing intervals: 0.3 s were spent waiting for the fourth question. Ruled out: that the leader was late (47.9 to 48.2 s; most served from 48.15). Change: log lines go to standard output through a bounded queue and a write that only takes place when the descriptor is ready; metrics in the exposition format; a lost entry instance asks all control instances what they know, and one of them for the contents, each 40 to 120 ms.

--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -43,7 +43,8 @@
   return instance.settled;
 }
 
-wire::Update MakeUpdate(ControlTurn& turn, const Subscriber& subscriber) {
+/// What this instance knows, without the contents.
+wire::Update MakeSummary(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   const wire::ControlState& state = instance.replica.committed;
   wire::Update update;
@@ -54,13 +55,6 @@
     update.add_control_instances(member.instance());
   }
   update.set_data_centre(instance.config.data_centre);
-  update.set_registry_epoch(instance.config.incarnation);
-  update.set_registry_from(subscriber.registry_change);
-  update.set_registry_change(instance.registry.change);
-  for (const wire::ServerRecord& record :
-       RecordsAfter(instance.registry, subscriber.registry_change, turn.now)) {
-    *update.add_servers() = record;
-  }
   update.set_rules_version(state.rules().version());
   update.set_seq(state.seq());
   update.set_voter(!instance.disk_failed && IsVoter(instance.replica));
@@ -68,6 +62,19 @@
     update.set_pending_version(
         instance.replica.tip->change().rules().version());
   }
+  return update;
+}
+
+wire::Update MakeUpdate(ControlTurn& turn, const Subscriber& subscriber) {
+  const ControlInstance& instance = turn.instance;
+  wire::Update update = MakeSummary(turn);
+  update.set_registry_epoch(instance.config.incarnation);
+  update.set_registry_from(subscriber.registry_change);
+  update.set_registry_change(instance.registry.change);
+  for (const wire::ServerRecord& record :
+       RecordsAfter(instance.registry, subscriber.registry_change, turn.now)) {
+    *update.add_servers() = record;
+  }
   if (subscriber.rules_wanted) {
     const wire::RoutesUpdate routes =
         RoutesSince(instance.history, subscriber.rules_version);
@@ -78,6 +85,14 @@
   return update;
 }
 
+/// Says what this instance knows, without contents.
+void SendBrief(ControlTurn& turn, InstanceAddress to) {
+  wire::FleetMessage message;
+  *message.mutable_update() = MakeSummary(turn);
+  turn.effects.emplace_back(
+      SendMessage{.to = to, .message = std::move(message)});
+}
+
 void SendUpdate(ControlTurn& turn, InstanceAddress to,
                 const Subscriber& subscriber) {
   wire::FleetMessage message;
@@ -164,6 +179,7 @@
     if (turn.now < report.expires_at) {
       return false;
     }
+    instance.counters.reports_unconfirmed += 1;
     Log(turn, EventId::kReportUnconfirmed,
         "change=" + std::to_string(report.change) +
             " confirmed=" + std::to_string(confirmed),
@@ -180,6 +196,10 @@
   ControlInstance& instance = turn.instance;
   const bool known_epoch =
       subscribe.registry_epoch() == instance.config.incarnation;
+  if (subscribe.brief()) {
+    SendBrief(turn, from);
+    return;
+  }
   Subscriber& subscriber = instance.subscribers[from];
   const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
   const bool is_confirmation =
@@ -261,6 +281,7 @@
 
 void HandleReport(ControlTurn& turn, const ServerReported& event) {
   ControlInstance& instance = turn.instance;
+  instance.counters.reports += 1;
   const std::string finding = CheckRecord(event.record);
   if (!finding.empty()) {
     Log(turn, EventId::kAnnouncementRejected,
@@ -359,6 +380,7 @@
       " members=" + std::to_string(replica.committed.members_size()) +
       " seq=" + std::to_string(replica.committed.seq());
   if (replica.role == ReplicaRole::kLeader) {
+    turn.instance.counters.elections_won += 1;
     Log(turn, EventId::kLeaderElected, text);
   } else if (before == ReplicaRole::kLeader) {
     Log(turn, EventId::kLeadershipLost, text, Severity::kWarning);
@@ -468,9 +490,9 @@
   void operator()(const ControlDiskFailed&) {
     ControlInstance& instance = this->turn.instance;
     instance.disk_failed = true;
-    for (const auto& [token, call] : instance.proposals) {
-      Answer(this->turn,
-             AnswerCall{.call = call, .reason = "the disk takes no writes"});
+    for (const auto& [token, proposal] : instance.proposals) {
+      Answer(this->turn, AnswerCall{.call = proposal.call,
+                                    .reason = "the disk takes no writes"});
     }
     instance.proposals.clear();
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "Base/Histogram.h"
 #include "Control/Replica.h"
 #include "Distribution/RouteHistory.h"
 #include "Fleet/Fleet.h"
@@ -52,6 +53,19 @@
   TimePoint expires_at;
 };
 
+struct ControlCounters {
+  std::uint64_t reports = 0;
+  std::uint64_t reports_unconfirmed = 0;
+  std::uint64_t submissions = 0;
+  std::uint64_t elections_won = 0;
+};
+
+/// A rules file that was proposed here.
+struct Proposal {
+  CallId call = 0;
+  TimePoint proposed_at;
+};
+
 struct ControlInstance {
   FleetConfig config;
   Replica replica;
@@ -59,8 +73,8 @@
   RouteHistory history;
   std::map<InstanceAddress, Subscriber> subscribers;
   std::map<InstanceAddress, RegistrySource> sources;
-  std::map<std::uint64_t, CallId> proposals;  ///< Token to call.
-  std::deque<WaitingSubmission> submissions;  ///< Until a leader is known.
+  std::map<std::uint64_t, Proposal> proposals;  ///< By token.
+  std::deque<WaitingSubmission> submissions;    ///< Until a leader is known.
   std::deque<WaitingReport> reports;
   std::uint64_t next_token = 1;
   TimePoint started_at;
@@ -72,6 +86,8 @@
   bool settled = false;  ///< Knows the backend servers since its start.
   bool stopping = false;
   bool disk_failed = false;  ///< Takes no part in agreement meanwhile.
+  ControlCounters counters;
+  Histogram commit_time;
 };
 
 /// `saved` is what the disk remembers of backend servers, if anything.
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -6,11 +6,13 @@
 namespace {
 
 constexpr Milliseconds kPollInterval{400};
+/// The contents are asked for again only after this time.
+constexpr Milliseconds kAnswerTime{40};
 /// Without word of the newest rules for this long, all are asked.
 constexpr Milliseconds kFreshLimit{900};
 /// The first of the intervals at which all are asked; each is twice the last.
 constexpr Milliseconds kShortestUrgentInterval{40};
-constexpr Milliseconds kLongestUrgentInterval{320};
+constexpr Milliseconds kLongestUrgentInterval{120};
 constexpr Milliseconds kHousekeepingInterval{1000};
 /// Longer than any flow lives, so that its token can be resolved.
 constexpr Milliseconds kGoneRetention{90000};
@@ -29,9 +31,18 @@
       LogRecord{.id = id, .severity = severity, .text = text});
 }
 
+/// Asks what a control instance knows, without the contents.
+void SendBrief(Turn& turn, InstanceAddress to) {
+  wire::FleetMessage message;
+  message.mutable_subscribe()->set_brief(true);
+  turn.effects.emplace_back(
+      SendMessage{.to = to, .message = std::move(message)});
+}
+
 void SendSubscribe(Turn& turn, InstanceAddress to) {
-  const EntryInstance& instance = turn.instance;
-  const ControlSource& source = instance.sources.at(to);
+  EntryInstance& instance = turn.instance;
+  ControlSource& source = instance.sources.at(to);
+  source.asked_at = turn.now;
   wire::FleetMessage message;
   wire::Subscribe& subscribe = *message.mutable_subscribe();
   subscribe.set_rules_version(instance.forwarder.routes.version);
@@ -68,7 +79,24 @@
     instance.sources.try_emplace(seed);
   }
   for (const auto& [address, source] : instance.sources) {
-    SendSubscribe(turn, address);
+    SendBrief(turn, address);
+  }
+}
+
+/// Asks for the contents when a control instance has some that are missing
+/// here. While several answer at once, one of them is enough.
+void AskForMissing(Turn& turn, InstanceAddress from,
+                   const wire::Update& update) {
+  EntryInstance& instance = turn.instance;
+  const bool newer_rules =
+      update.rules_version() > instance.forwarder.routes.version;
+  const bool first_servers = update.settled() && !instance.servers_known;
+  const bool asked_just_now = std::any_of(
+      instance.sources.begin(), instance.sources.end(), [&](const auto& item) {
+        return turn.now - item.second.asked_at < kAnswerTime;
+      });
+  if ((newer_rules || first_servers) && !asked_just_now) {
+    SendSubscribe(turn, from);
   }
 }
 
@@ -166,6 +194,7 @@
                              instance.config.data_centre;
   if (instance.primary == 0 || (local && !has_local)) {
     instance.primary = from;
+    instance.poll_at = turn.now;
     Log(turn, EventId::kControlFound,
         "control=" + FormatIp(from) + " data_centre=" + source.data_centre);
   }
@@ -187,16 +216,19 @@
   source.voters.assign(update.control_instances().begin(),
                        update.control_instances().end());
   TakeServers(turn, update);
+  const bool has_contents = update.registry_epoch() != 0;
   const bool follows = update.registry_epoch() == source.epoch
                            ? update.registry_from() <= source.change
                            : update.registry_from() == 0;
-  if (follows) {
+  if (has_contents && follows) {
     source.epoch = update.registry_epoch();
     source.change = update.registry_change();
   }
-  instance.servers_known = instance.servers_known || update.settled();
+  instance.servers_known =
+      instance.servers_known || (has_contents && update.settled());
   TakeRoutes(turn, update);
   ConfirmRules(turn, update);
+  AskForMissing(turn, from, update);
   if (update.fresh()) {
     source.fresh_at = turn.now;
     ChoosePrimary(turn, from, source);
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -25,6 +25,7 @@
   std::string data_centre;
   TimePoint heard_at;
   TimePoint fresh_at;  ///< Last time that it knew the newest rules.
+  TimePoint asked_at;  ///< Last time that its contents were asked for.
   bool voter = false;
   std::uint64_t seq = 0;                ///< Committed entries that it knew.
   std::uint64_t newest_version = 0;     ///< Committed there, or stored only.
--- /dev/null
+++ b/Source/Fleet/Metrics.cc
@@ -0,0 +1,158 @@
+#include "Fleet/Metrics.h"
+
+#include <algorithm>
+
+namespace filbertwall {
+namespace {
+
+using Samples = std::vector<MetricSample>;
+
+void AddCounter(Samples& samples, const std::string& name,
+                const std::string& help, std::uint64_t value,
+                const std::string& label = "") {
+  samples.push_back(MetricSample{.name = "filbertwall_" + name,
+                                 .help = help,
+                                 .label = label,
+                                 .value = Counter{.value = value}});
+}
+
+void AddGauge(Samples& samples, const std::string& name,
+              const std::string& help, double value,
+              const std::string& label = "") {
+  samples.push_back(MetricSample{.name = "filbertwall_" + name,
+                                 .help = help,
+                                 .label = label,
+                                 .value = Gauge{.value = value}});
+}
+
+void AddHistogram(Samples& samples, const std::string& name,
+                  const std::string& help, const Histogram& histogram) {
+  samples.push_back(MetricSample{
+      .name = "filbertwall_" + name, .help = help, .value = histogram});
+}
+
+double SecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+void AddProcess(Samples& samples, const ProcessFigures& figures) {
+  AddCounter(samples, "log_lines_lost_total",
+             "Log lines that a slow reader did not take.",
+             figures.log_lines_lost);
+  AddCounter(samples, "malformed_messages_total",
+             "Datagrams between instances that could not be read.",
+             figures.malformed_messages);
+  AddCounter(samples, "message_bytes_sent_total",
+             "Bytes sent to other instances, without transport headers.",
+             figures.message_bytes_sent);
+}
+
+void AddServers(Samples& samples, const Registry& registry) {
+  double ready = 0;
+  double draining = 0;
+  double silent = 0;
+  for (const auto& [id, server] : registry.servers) {
+    const bool is_ready = server.record.phase() == wire::SERVER_READY;
+    const bool is_draining = server.record.phase() == wire::SERVER_DRAINING;
+    ready += is_ready && !server.record.silent() ? 1 : 0;
+    silent += is_ready && server.record.silent() ? 1 : 0;
+    draining += is_draining ? 1 : 0;
+  }
+  const std::string help = "Backend servers that are known, by state.";
+  AddGauge(samples, "servers", help, ready, "ready");
+  AddGauge(samples, "servers", help, draining, "draining");
+  AddGauge(samples, "servers", help, silent, "silent");
+}
+
+}  // namespace
+
+std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
+                                         const ProcessFigures& figures,
+                                         TimePoint now) {
+  Samples samples;
+  AddProcess(samples, figures);
+  AddServers(samples, instance.registry);
+  const ForwarderCounters& counters = instance.forwarder.counters;
+  const std::string packets = "Packets of callers, by what was decided.";
+  AddCounter(samples, "packets_total", packets, counters.forwarded,
+             "forwarded");
+  AddCounter(samples, "packets_total", packets, counters.placed, "placed");
+  AddCounter(samples, "packets_total", packets, counters.placed_again,
+             "placed_again");
+  AddCounter(samples, "packets_total", packets, counters.no_route, "no_route");
+  AddCounter(samples, "packets_total", packets, counters.no_server,
+             "no_server");
+  AddCounter(samples, "packets_total", packets, counters.unknown_token,
+             "unknown_token");
+  AddCounter(samples, "packets_total", packets, figures.malformed_packets,
+             "malformed");
+  AddCounter(samples, "packet_send_failures_total",
+             "Packets that the socket did not take.", figures.send_failures);
+  AddCounter(samples, "flows_expired_total",
+             "Flows whose end was not seen within their time limit.",
+             counters.expired);
+  AddGauge(samples, "flows_open", "Flows that were opened here.",
+           static_cast<double>(instance.forwarder.flows.size()));
+  const auto avoided = std::count_if(
+      instance.forwarder.placement.servers.begin(),
+      instance.forwarder.placement.servers.end(),
+      [&](const PlacedServer& server) { return now < server.avoid_until; });
+  AddGauge(samples, "servers_avoided",
+           "Backend servers left out because they did not answer.",
+           static_cast<double>(avoided));
+  AddGauge(samples, "rules_version", "Version of the rules in force.",
+           static_cast<double>(instance.forwarder.routes.version));
+  AddGauge(samples, "rules_age_seconds",
+           "Time since a control instance confirmed the newest rules.",
+           SecondsBetween(instance.fresh_at, now));
+  AddGauge(samples, "serving", "1 when new flows may be sent here.",
+           IsReady(instance) ? 1 : 0);
+  AddHistogram(samples, "packet_batch_seconds",
+               "From receiving packets to having sent them on.", figures.batch);
+  AddHistogram(samples, "first_answer_seconds",
+               "From a flow's first packet to its caller's next one.",
+               instance.forwarder.first_answer);
+  return samples;
+}
+
+std::vector<MetricSample> CollectMetrics(const ControlInstance& instance,
+                                         const ProcessFigures& figures,
+                                         TimePoint now) {
+  Samples samples;
+  AddProcess(samples, figures);
+  AddServers(samples, instance.registry);
+  const Replica& replica = instance.replica;
+  AddGauge(samples, "leader", "1 when this instance leads with a lease.",
+           HasLease(replica, now) ? 1 : 0);
+  AddGauge(samples, "leader_known",
+           "1 when this instance leads or hears the leader.",
+           KnowsNewest(replica, now, replica.config.lease) ? 1 : 0);
+  AddGauge(samples, "voters", "Voting control instances.",
+           replica.committed.members_size());
+  AddGauge(samples, "rules_version", "Version of the rules in force.",
+           static_cast<double>(replica.committed.rules().version()));
+  AddGauge(samples, "committed_entries", "Committed entries of the log.",
+           static_cast<double>(replica.committed.seq()));
+  AddGauge(samples, "disk_failed", "1 while the disk takes no writes.",
+           instance.disk_failed ? 1 : 0);
+  AddGauge(samples, "subscribers", "Instances that are told of changes.",
+           static_cast<double>(instance.subscribers.size()));
+  const ControlCounters& counters = instance.counters;
+  AddCounter(samples, "reports_total", "Reports of backend servers.",
+             counters.reports);
+  AddCounter(samples, "reports_unconfirmed_total",
+             "Leaving servers that no other control instance confirmed.",
+             counters.reports_unconfirmed);
+  AddCounter(samples, "submissions_total", "Rules files handed over here.",
+             counters.submissions);
+  AddCounter(samples, "elections_won_total", "Times this instance led.",
+             counters.elections_won);
+  AddHistogram(samples, "commit_seconds",
+               "From proposing rules to a majority having stored them.",
+               instance.commit_time);
+  AddHistogram(samples, "sync_seconds", "Durable writes of the log.",
+               figures.sync);
+  return samples;
+}
+
+}  // namespace filbertwall
--- a/Source/Fleet/Submissions.cc
+++ b/Source/Fleet/Submissions.cc
@@ -32,7 +32,7 @@
   }
   if (instance.replica.role == ReplicaRole::kLeader && !instance.disk_failed) {
     const std::uint64_t token = instance.next_token++;
-    instance.proposals[token] = call;
+    instance.proposals[token] = Proposal{.call = call, .proposed_at = turn.now};
     ControlSubmitted submitted{.token = token};
     *submitted.change.mutable_rules() = file;
     RunReplica(turn, submitted);
@@ -52,6 +52,7 @@
 
 void HandleSubmitted(ControlTurn& turn, const RulesSubmitted& event) {
   ControlInstance& instance = turn.instance;
+  instance.counters.submissions += 1;
   if (TrySubmission(turn, event.call, event.file)) {
     return;
   }
@@ -86,7 +87,9 @@
   if (proposal == instance.proposals.end()) {
     return;
   }
-  const CallId call = proposal->second;
+  const CallId call = proposal->second.call;
+  instance.commit_time.Add(std::chrono::duration_cast<Microseconds>(
+      turn.now - proposal->second.proposed_at));
   instance.proposals.erase(proposal);
   // A file that is refused here was overtaken by a version at least as high, so
   // there is nothing left to do for it.
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -73,6 +73,8 @@
   PlacedServer& server = forwarder.placement.servers[flow.server];
   if (!flow.answered && !packet.aborts) {
     flow.answered = true;
+    forwarder.first_answer.Add(
+        std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
     NoteAnswered(server, now);
   }
   if (packet.closes || packet.aborts) {
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "Base/Endpoint.h"
+#include "Base/Histogram.h"
 #include "Base/Time.h"
 #include "Forwarding/RouteTable.h"
 #include "Placement/Placement.h"
@@ -86,6 +87,7 @@
   /// Flows by the time that they may have ended, in that order.
   std::deque<std::pair<TimePoint, FlowKey>> expiries;
   ForwarderCounters counters;
+  Histogram first_answer;  ///< From an opening packet to its follow-up.
 };
 
 /// Decides on one packet. Precondition: `now` never goes back.
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -11,6 +11,8 @@
 #include "Shell/FleetSettingsFile.h"
 #include "Shell/HttpServer.h"
 #include "Shell/Log.h"
+#include "Shell/MetricsServer.h"
+#include "Shell/MetricsText.h"
 
 /// The process of a control instance of a fleet.
 namespace filbertwall {
@@ -39,7 +41,8 @@
         adapter(deployment),
         file(source.path),
         link(this->loop.Base()),
-        http(this->loop.Base()) {}
+        http(this->loop.Base()),
+        metrics(this->loop.Base(), [this] { return this->MetricsNow(); }) {}
 
   RunError Run();
 
@@ -71,6 +74,7 @@
   void FailDisk(const StoreFailure& failure);
   void ReloadSettings();
   void Rearm();
+  std::string MetricsNow() const;
 
   Settings settings;
   const FleetAdapter& adapter;
@@ -78,6 +82,8 @@
   FleetLoop loop;
   FleetLink link;
   HttpServer http;
+  MetricsServer metrics;
+  Histogram sync_time;
   std::unique_ptr<ControlStore> store;
   ControlInstance instance;
   std::map<CallId, OpenCall> calls;
@@ -168,6 +174,8 @@
     return RunError::kNetwork;
   }
   this->ConnectSignals();
+  this->metrics.Start({.ip = this->settings.announce_address.ip,
+                       .port = this->settings.fleet.metrics_port});
   this->settings_at = FleetNow() + kSettingsInterval;
   if (!log) {
     this->disk_failed = true;
@@ -289,15 +297,28 @@
 }
 
 void ControlRuntime::operator()(const PersistRecord& effect) {
+  const TimePoint started = FleetNow();
   auto written = this->store->Append(effect.record);
   if (written && this->store->WantsSnapshot()) {
     written = this->store->Replace(FullRecord(this->instance.replica));
   }
+  this->sync_time.Add(
+      std::chrono::duration_cast<Microseconds>(FleetNow() - started));
   if (!written) {
     this->FailDisk(written.error());
   }
 }
 
+std::string ControlRuntime::MetricsNow() const {
+  return FormatMetrics(CollectMetrics(
+      this->instance,
+      ProcessFigures{.log_lines_lost = LogLinesLost(),
+                     .malformed_messages = this->link.Malformed(),
+                     .message_bytes_sent = this->link.BytesSent(),
+                     .sync = this->sync_time},
+      FleetNow()));
+}
+
 void ControlRuntime::operator()(const SaveRegistry& effect) {
   const auto saved = SaveFile(this->settings.data_folder + kRegistryName,
                               effect.saved.SerializeAsString());
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -7,6 +7,8 @@
 #include "Shell/FleetSettingsFile.h"
 #include "Shell/HttpServer.h"
 #include "Shell/Log.h"
+#include "Shell/MetricsServer.h"
+#include "Shell/MetricsText.h"
 
 /// The process of an entry instance.
 namespace filbertwall {
@@ -44,7 +46,8 @@
         file(source.path),
         link(this->loop.Base()),
         packets(this->loop.Base()),
-        http(this->loop.Base()) {}
+        http(this->loop.Base()),
+        metrics(this->loop.Base(), [this] { return this->MetricsNow(); }) {}
 
   RunError Run();
 
@@ -62,6 +65,7 @@
   void HandlePacket(const ReceivedDatagram& datagram, TimePoint now);
   void LogDecision(const FlowPacket& packet, const Decision& decision);
   void ReloadSettings();
+  std::string MetricsNow() const;
 
   Settings settings;
   const FleetAdapter& adapter;
@@ -70,7 +74,10 @@
   FleetLink link;
   DatagramPort packets;
   HttpServer http;
+  MetricsServer metrics;
   EntryInstance instance;
+  Histogram batch_time;
+  std::uint64_t malformed_packets = 0;
   TimePoint settings_at;
   /// Resets of one batch; they must live until the batch is sent.
   std::vector<std::array<std::uint8_t, 64>> resets;
@@ -127,6 +134,8 @@
     return RunError::kNetwork;
   }
   this->ConnectSignals();
+  this->metrics.Start({.ip = this->settings.announce_address.ip,
+                       .port = this->settings.fleet.metrics_port});
   this->settings_at = FleetNow() + kSettingsInterval;
   WriteLog({.id = EventId::kStarted,
             .text = "role=entry data_centre=" + this->settings.data_centre});
@@ -159,6 +168,21 @@
   for (const ReceivedDatagram& datagram : batch) {
     this->HandlePacket(datagram, now);
   }
+  this->packets.Flush();
+  this->batch_time.Add(
+      std::chrono::duration_cast<Microseconds>(FleetNow() - now));
+}
+
+std::string EntryRuntime::MetricsNow() const {
+  return FormatMetrics(CollectMetrics(
+      this->instance,
+      ProcessFigures{.log_lines_lost = LogLinesLost(),
+                     .malformed_messages = this->link.Malformed(),
+                     .malformed_packets = this->malformed_packets,
+                     .send_failures = this->packets.SendFailures(),
+                     .message_bytes_sent = this->link.BytesSent(),
+                     .batch = this->batch_time},
+      FleetNow()));
 }
 
 void EntryRuntime::HandlePacket(const ReceivedDatagram& datagram,
@@ -166,6 +190,7 @@
   const PacketCodec& codec = this->adapter.packets;
   FlowPacket packet;
   if (!codec.parse(datagram.bytes, packet)) {
+    this->malformed_packets += 1;
     WriteLog({.id = EventId::kMalformedInput,
               .severity = Severity::kWarning,
               .text = "a packet from " + FormatEndpoint(datagram.from)});
--- a/Source/Shell/Log.cc
+++ b/Source/Shell/Log.cc
@@ -1,13 +1,21 @@
 #include "Shell/Log.h"
 
+#include <unistd.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions/formatters/stream.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
-#include <iostream>
 #include <map>
 
+#include "Shell/LogOutput.h"
+
 namespace filbertwall {
 namespace {
 
@@ -21,6 +29,20 @@
 
 std::uint32_t g_instance = 0;
 
+LogOutput& Output() {
+  static LogOutput output(STDOUT_FILENO);
+  return output;
+}
+
+/// Boost.Log's way to our output.
+class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char, boost::log::sinks::concurrent_feeding> {
+ public:
+  static void consume(const boost::log::record_view&, const std::string& line) {
+    Output().Write(line);
+  }
+};
+
 boost::log::sources::severity_logger<int>& Logger() {
   static boost::log::sources::severity_logger<int> logger;
   return logger;
@@ -49,9 +71,10 @@
 void StartLog(std::uint32_t instance) {
   g_instance = instance;
   boost::log::add_common_attributes();
-  boost::log::add_console_log(
-      std::cerr, boost::log::keywords::format = "%TimeStamp% %Message%",
-      boost::log::keywords::auto_flush = true);
+  using Sink = boost::log::sinks::unlocked_sink<OutputBackend>;
+  const auto sink = boost::make_shared<Sink>();
+  sink->set_formatter(boost::log::parse_formatter("%TimeStamp% %Message%"));
+  boost::log::core::get()->add_sink(sink);
 }
 
 void WriteLog(const LogRecord& record) {
@@ -73,4 +96,6 @@
   Emit(record.id, record.severity, record.text);
 }
 
+std::uint64_t LogLinesLost() { return Output().Lost(); }
+
 }  // namespace filbertwall
