--- a/Source/Shell/Log.cc
+++ b/Source/Shell/Log.cc
@@ -38,6 +38,8 @@
 class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
                           char, boost::log::sinks::concurrent_feeding> {
  public:
+  // The name is Boost.Log's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static void consume(const boost::log::record_view&, const std::string& line) {
     Output().Write(line);
   }
