--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -14,6 +14,10 @@
 constexpr Milliseconds kShortestUrgentInterval{40};
 constexpr Milliseconds kLongestUrgentInterval{120};
 constexpr Milliseconds kHousekeepingInterval{1000};
+/// Running this much later than due, the instance stood still.
+constexpr Milliseconds kStallLimit{300};
+/// Time to read what had arrived meanwhile.
+constexpr Milliseconds kStallDiscard{100};
 /// Longer than any flow lives, so that its token can be resolved.
 constexpr Milliseconds kGoneRetention{90000};
 /// The routers need two failed health checks to send packets elsewhere.
@@ -301,6 +305,7 @@
 
 std::vector<EntryEffect> Reduce(EntryInstance& instance,
                                 const EntryEvent& event, TimePoint now) {
+  NoteStall(instance, now);
   std::vector<EntryEffect> effects;
   Turn turn{.instance = instance, .now = now, .effects = effects};
   std::visit(EventVisitor{.turn = turn}, event);
@@ -315,6 +320,13 @@
   return due;
 }
 
+void NoteStall(EntryInstance& instance, TimePoint now) {
+  const bool started = instance.started_at != TimePoint();
+  if (started && now > NextDue(instance) + kStallLimit) {
+    instance.forwarder.discard_openings_until = now + kStallDiscard;
+  }
+}
+
 bool IsReady(const EntryInstance& instance) {
   return instance.forwarder.serving && !instance.stopping;
 }
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -73,6 +73,10 @@
 /// When `EntryDue` is next of use.
 TimePoint NextDue(const EntryInstance& instance);
 
+/// Notes when this instance runs again much later than it was due, since it was
+/// frozen or had no processor. Call before packets are decided on.
+void NoteStall(EntryInstance& instance, TimePoint now);
+
 /// Whether new flows may be sent here.
 bool IsReady(const EntryInstance& instance);
 
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -82,7 +82,7 @@
     if (packet.closes) {
       duration = std::chrono::duration_cast<Milliseconds>(now - flow.opened_at);
     }
-    NoteEnded(server, flow.answered, duration);
+    NoteEnded(forwarder.placement, flow.server, flow.answered, duration, now);
     forwarder.flows.erase(known);
   }
 }
@@ -97,6 +97,9 @@
 Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
                       TimePoint now) {
   ExpireFlows(forwarder, now);
+  if (packet.opens && now < forwarder.discard_openings_until) {
+    return Drop(ForwardReason::kStale);
+  }
   if (packet.opens) {
     return forwarder.serving ? Open(forwarder, packet, now)
                              : Drop(ForwardReason::kNotServing);
@@ -126,8 +129,8 @@
     if (flow == forwarder.flows.end() || flow->second.expires_at > now) {
       continue;
     }
-    NoteEnded(forwarder.placement.servers[flow->second.server],
-              flow->second.answered, std::nullopt);
+    NoteEnded(forwarder.placement, flow->second.server, flow->second.answered,
+              std::nullopt, now);
     forwarder.counters.expired += 1;
     forwarder.flows.erase(flow);
   }
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -52,6 +52,7 @@
   kUnknownToken,  ///< No server with this token is known.
   kNoServer,      ///< The service has no server that may take it.
   kNotServing,    ///< This instance does not know the newest rules yet.
+  kStale,         ///< It waited while this instance stood still.
 };
 
 struct Decision {
@@ -82,6 +83,9 @@
   Placement placement;
   RouteTable routes;
   bool serving = false;
+  /// Opening packets are dropped until then: they waited while this instance
+  /// stood still, and their callers have opened the flow elsewhere since.
+  TimePoint discard_openings_until;
   std::size_t flow_limit = 100000;
   std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
   /// Flows by the time that they may have ended, in that order.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -16,16 +16,43 @@
 constexpr Milliseconds kLongestAvoidance{2400};
 
 /// What a server in another data centre costs more, in flows a slot.
-constexpr double kRemoteCost = 0.7;
+constexpr double kRemoteCost = 0.2;
 constexpr double kColdFactor = 1.6;
-constexpr double kDurationWeight = 0.1;
+/// What twice the service's usual duration costs, in flows a slot.
+constexpr double kSlownessCost = 0.6;
+constexpr double kMostSlowness = 3.0;
+/// Slowness that is not measured again counts half after this time.
+constexpr Milliseconds kSlownessHalfLife{500};
+constexpr double kServerWeight = 0.25;
+constexpr double kServiceWeight = 0.02;
+
+double Average(double average, double measured, double weight) {
+  return average == 0 ? measured : average + weight * (measured - average);
+}
+
+/// How much longer than usual the server's flows last, as a share of the usual
+/// duration. Shows the work that other instances give it, which this one does
+/// not see.
+double SlownessOf(const Placement& placement, const PlacedServer& server,
+                  TimePoint now) {
+  const double usual = placement.duration_of[server.service];
+  if (usual <= 0 || server.duration_ms <= usual) {
+    return 0;
+  }
+  const double half_lives =
+      static_cast<double>(MillisecondsBetween(server.duration_at, now)) /
+      static_cast<double>(kSlownessHalfLife.count());
+  const double slowness = server.duration_ms / usual - 1.0;
+  return std::min(kMostSlowness, slowness) * std::exp2(-half_lives);
+}
 
-/// How many of this instance's own flows a slot may hold before a server of
-/// another data centre is as good is set by kRemoteCost; equals are drawn.
-double CostOf(const PlacedServer& server, TimePoint now) {
+/// The lower, the sooner a new flow is served there.
+double CostOf(const Placement& placement, const PlacedServer& server,
+              TimePoint now) {
   const double cold = now < server.warm_at ? kColdFactor : 1.0;
   const double load = (server.in_flight + 1.0) * cold / server.slots;
-  return load + (server.local ? 0.0 : kRemoteCost);
+  return load + (server.local ? 0.0 : kRemoteCost) +
+         kSlownessCost * SlownessOf(placement, server, now);
 }
 
 bool Avoided(const PlacedServer& server, TimePoint now) {
@@ -71,6 +98,7 @@
       name, static_cast<ServiceIndex>(placement.usable_of.size()));
   if (added) {
     placement.usable_of.emplace_back();
+    placement.duration_of.push_back(0);
   }
   return position->second;
 }
@@ -148,7 +176,7 @@
   for (std::size_t i = 0; i < list.size(); ++i) {
     const ServerIndex index = list[(start + i) % list.size()];
     const PlacedServer& server = placement.servers[index];
-    const double cost = CostOf(server, now) +
+    const double cost = CostOf(placement, server, now) +
                         (Avoided(server, now) ? kAvoidedCost : 0) +
                         (except == index ? kExceptCost : 0);
     if (cost < best_cost) {
@@ -192,8 +220,9 @@
   }
 }
 
-void NoteEnded(PlacedServer& server, bool answered,
-               std::optional<Milliseconds> duration) {
+void NoteEnded(Placement& placement, ServerIndex index, bool answered,
+               std::optional<Milliseconds> duration, TimePoint now) {
+  PlacedServer& server = placement.servers[index];
   server.in_flight -= server.in_flight > 0 ? 1 : 0;
   if (!answered) {
     server.unanswered -= server.unanswered > 0 ? 1 : 0;
@@ -202,11 +231,10 @@
     return;
   }
   const auto measured = static_cast<double>(duration->count());
-  server.duration_ms =
-      server.duration_ms == 0
-          ? measured
-          : server.duration_ms +
-                kDurationWeight * (measured - server.duration_ms);
+  double& usual = placement.duration_of[server.service];
+  usual = Average(usual, measured, kServiceWeight);
+  server.duration_ms = Average(server.duration_ms, measured, kServerWeight);
+  server.duration_at = now;
 }
 
 }  // namespace filbertwall
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -41,6 +41,7 @@
   TimePoint avoid_until;
   std::uint32_t failures_in_row = 0;
   double duration_ms = 0;  ///< Moving average of its flows; 0: not known.
+  TimePoint duration_at;   ///< When it was last measured.
 };
 
 struct PlacementConfig {
@@ -55,7 +56,8 @@
   std::unordered_map<std::uint32_t, ServerIndex> by_token;
   std::unordered_map<std::string, ServiceIndex> services;
   std::vector<std::vector<ServerIndex>> usable_of;  ///< By service.
-  std::uint64_t draws = 0;  ///< Drives the choice among equals.
+  std::vector<double> duration_of;  ///< Moving average by service, in ms.
+  std::uint64_t draws = 0;          ///< Drives the choice among equals.
 };
 
 /// The number that an id's hexadecimal digits form; the last 16 count.
@@ -91,7 +93,7 @@
 /// The caller sent its opening packet again, so the server has not answered.
 void NoteUnanswered(PlacedServer& server, TimePoint now);
 /// A flow has ended; `duration` is empty when it was given up.
-void NoteEnded(PlacedServer& server, bool answered,
-               std::optional<Milliseconds> duration);
+void NoteEnded(Placement& placement, ServerIndex index, bool answered,
+               std::optional<Milliseconds> duration, TimePoint now);
 
 }  // namespace filbertwall
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -180,7 +180,8 @@
           {"first_start", BooleanSetter(fleet.first_start)},
           {"tolerated_losses", NumberSetter(fleet.tolerated_losses, 0)},
           {"announce_interval", DurationSetter(fleet.announce_interval)},
-          {"metrics_port", PortSetter(fleet.metrics_port)}};
+          {"metrics_port", PortSetter(fleet.metrics_port)},
+          {"peer_port", PortSetter(fleet.peer_port)}};
 }
 
 Setters InstanceSetters(Settings& settings) {
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -130,7 +130,7 @@
 bool ControlRuntime::OpenPorts() {
   const Settings& own = this->settings;
   std::string failed;
-  if (!this->link.Start(own.control_address)) {
+  if (!this->link.Start(own.control_address, own.fleet.peer_port)) {
     failed = "control_address " + FormatEndpoint(own.control_address);
   } else if (!this->http.Start(own.announce_address)) {
     failed = "announce_address " + FormatEndpoint(own.announce_address);
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -34,6 +34,8 @@
       return "no-server";
     case ForwardReason::kNotServing:
       return "not-serving";
+    case ForwardReason::kStale:
+      return "stale";
   }
   return "";
 }
@@ -86,7 +88,7 @@
 bool EntryRuntime::OpenPorts() {
   const Settings& own = this->settings;
   std::string failed;
-  if (!this->link.Start(own.control_address)) {
+  if (!this->link.Start(own.control_address, own.fleet.peer_port)) {
     failed = "control_address " + FormatEndpoint(own.control_address);
   } else if (!this->packets.Start(own.packet_address)) {
     failed = "packet_address " + FormatEndpoint(own.packet_address);
@@ -165,6 +167,7 @@
   this->resets.clear();
   this->resets.reserve(batch.size());
   const TimePoint now = FleetNow();
+  NoteStall(this->instance, now);
   for (const ReceivedDatagram& datagram : batch) {
     this->HandlePacket(datagram, now);
   }
--- a/Source/Shell/FleetLink.cc
+++ b/Source/Shell/FleetLink.cc
@@ -17,8 +17,8 @@
   });
 }
 
-bool FleetLink::Start(const Endpoint& address) {
-  this->peer_port = address.port;
+bool FleetLink::Start(const Endpoint& address, std::uint16_t port_of_peers) {
+  this->peer_port = port_of_peers != 0 ? port_of_peers : address.port;
   return this->port.Start(address);
 }
 
--- a/Source/Shell/FleetLink.h
+++ b/Source/Shell/FleetLink.h
@@ -24,8 +24,9 @@
 
   sigc::signal<void(const PeerMessage&)> on_message;
 
+  /// Sends to other instances at `port_of_peers`, or at the own port when it is 0.
   /// False when the address can't be bound.
-  bool Start(const Endpoint& address);
+  bool Start(const Endpoint& address, std::uint16_t port_of_peers);
 
   /// Sends once, without a word of its arrival.
   void Send(const SendMessage& effect);
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -249,3 +249,21 @@
     CHECK(IsUsableAt(this->world, id, "a1"));
   }
 }
+
+TEST(Fleet, OpeningPacketsThatWaitedThroughAFreezeAreDropped) {
+  EntryInstance& entry = this->world.entries.at(kFirstEntry);
+  const FlowPacket opening{.key = {.caller = {.ip = 7, .port = 1},
+                                   .address = {.ip = 0x0A000001, .port = 80}},
+                           .opens = true};
+  NoteStall(entry, this->world.now);
+  CHECK(DecidePacket(entry.forwarder, opening, this->world.now).verdict ==
+        Verdict::kForward);
+  const TimePoint woken = this->world.now + std::chrono::seconds(2);
+  NoteStall(entry, woken);
+  CHECK(DecidePacket(entry.forwarder, opening, woken).reason ==
+        ForwardReason::kStale);
+  Apply(this->world, kFirstEntry, EntryEvent(EntryDue{}));
+  const TimePoint later = woken + Milliseconds(200);
+  CHECK(DecidePacket(entry.forwarder, opening, later).verdict ==
+        Verdict::kForward);
+}
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -138,3 +138,20 @@
   this->Add(MakeRecord("a1", 1, "here", 2));
   CHECK(this->Server("a1").avoid_until == TimePoint());
 }
+
+TEST(Placement, AServerThatOthersKeepBusyGetsLess) {
+  // Other instances fill the near server; only the time that flows last shows.
+  this->Add(MakeRecord("a1", 1, "here"));
+  this->Add(MakeRecord("b2", 2, "there"));
+  for (int i = 0; i < 200; ++i) {
+    NoteEnded(this->placement, this->placement.by_id.at("b2"), true,
+              Milliseconds(60), kStart);
+  }
+  for (int i = 0; i < 10; ++i) {
+    NoteEnded(this->placement, this->placement.by_id.at("a1"), true,
+              Milliseconds(200), kStart);
+  }
+  STRCMP_EQUAL("b2", this->Choose().c_str());
+  // It is tried again once the measurement is old.
+  STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(4000)).c_str());
+}
