--- a/Source/Shell/Log.cc
+++ b/Source/Shell/Log.cc
@@ -19,7 +19,7 @@
 namespace filbertwall {
 namespace {
 
-constexpr std::uint32_t kRecordsPerSecond = 20;
+constexpr std::uint32_t kRecordsPerSecond = 100;
 
 struct EventRate {
   std::chrono::steady_clock::time_point second_started;
--- a/Source/Shell/Runtime.cc
+++ b/Source/Shell/Runtime.cc
@@ -72,6 +72,7 @@
   void AddMetrics(wire::NodeDump& dump);
   static void OnTick(evutil_socket_t fd, short what, void* self);
   static void OnSignal(evutil_socket_t signal, short what, void* self);
+  static void OnHangup(evutil_socket_t signal, short what, void* self);
 
   Settings settings;
   std::unique_ptr<event_base, decltype(&event_base_free)> loop;
@@ -86,6 +87,7 @@
   event* tick = nullptr;
   event* terminate = nullptr;
   event* interrupt = nullptr;
+  event* hangup = nullptr;
   bool stop_requested = false;
   RunError result = RunError::kNone;
   DurationStatistics event_us{acc::quantile_probability = 0.99};
@@ -103,7 +105,8 @@
       packets(this->base) {}
 
 Runtime::~Runtime() {
-  for (event* item : {this->tick, this->terminate, this->interrupt}) {
+  for (event* item :
+       {this->tick, this->terminate, this->interrupt, this->hangup}) {
     if (item != nullptr) {
       event_free(item);
     }
@@ -224,6 +227,8 @@
   this->interrupt = evsignal_new(this->base, SIGINT, &Runtime::OnSignal, this);
   event_add(this->terminate, nullptr);
   event_add(this->interrupt, nullptr);
+  this->hangup = evsignal_new(this->base, SIGHUP, &Runtime::OnHangup, this);
+  event_add(this->hangup, nullptr);
   this->Handle(NodeStarted{});
   event_base_dispatch(this->base);
   return this->result;
@@ -259,6 +264,11 @@
   runtime.Handle(StopRequested{});
 }
 
+void Runtime::OnHangup(evutil_socket_t, short, void*) {
+  WriteLog({.id = EventId::kSettingsReloaded,
+            .text = "SIGHUP: settings with peers are read at a start only"});
+}
+
 void Runtime::FailDisk(const StoreFailure& failure) {
   WriteLog({.id = EventId::kSyncFailed,
             .severity = Severity::kError,
--- a/Tests/System/control_test.py
+++ b/Tests/System/control_test.py
@@ -1,5 +1,6 @@
 """Control: accepted rules stay, whatever fails. Real processes, real cuts."""
 import random
+import signal
 import sys
 import time
 
@@ -71,6 +72,19 @@
         assert verdict(leader.submit(petar, "petar")) == "refused"
 
 
+def hangup_ends_nothing():
+    with Scenario() as scenario:
+        d = scenario.deployment
+        before = {i.number: i.process.pid for i in d.instances.values()}
+        for instance in d.instances.values():
+            instance.process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        for instance in d.instances.values():
+            assert instance.process.poll() is None, instance.number
+            assert instance.process.pid == before[instance.number]
+            assert instance.dump() is not None, instance.number
+
+
 def isolated_leader(one_way=False, mode="silent"):
     with Scenario(with_relay=True) as scenario:
         d = scenario.deployment
