--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -44,7 +44,7 @@
                       .server = known->second.server};
     }
     except = known->second.server;
-    NoteUnanswered(forwarder.placement.servers[*except], now);
+    NoteUnanswered(forwarder.placement, *except, now);
     forwarder.flows.erase(known);
   }
   const ServiceIndex service =
@@ -70,12 +70,11 @@
     return;
   }
   OpenFlow& flow = known->second;
-  PlacedServer& server = forwarder.placement.servers[flow.server];
   if (!flow.answered && !packet.aborts) {
     flow.answered = true;
     forwarder.first_answer.Add(
         std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
-    NoteAnswered(server, now);
+    NoteAnswered(forwarder.placement, flow.server, now);
   }
   if (packet.closes || packet.aborts) {
     std::optional<Milliseconds> duration;
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -15,6 +15,11 @@
 constexpr Milliseconds kShortestAvoidance{300};
 constexpr Milliseconds kLongestAvoidance{2400};
 
+/// After this many openings without an answer a data centre is taken for cut
+/// off; one flow at a time then tries it.
+constexpr std::uint32_t kUnansweredLimit = 3;
+constexpr Milliseconds kDataCentreAvoidance{1000};
+
 /// What a server in another data centre costs more, in flows a slot.
 constexpr double kRemoteCost = 0.2;
 constexpr double kColdFactor = 1.6;
@@ -73,6 +78,22 @@
   server.failures_in_row += 1;
 }
 
+std::uint32_t InternDataCentre(Placement& placement, const std::string& name) {
+  const auto found = std::find_if(
+      placement.data_centres.begin(), placement.data_centres.end(),
+      [&](const PlacedDataCentre& item) { return item.name == name; });
+  const auto index =
+      static_cast<std::uint32_t>(found - placement.data_centres.begin());
+  if (found == placement.data_centres.end()) {
+    placement.data_centres.push_back(PlacedDataCentre{.name = name});
+  }
+  return index;
+}
+
+bool SeemsCutOff(const PlacedDataCentre& data_centre) {
+  return data_centre.unanswered_in_row >= kUnansweredLimit;
+}
+
 }  // namespace
 
 std::uint64_t NumberOf(std::string_view id) {
@@ -130,6 +151,7 @@
   server.address = Endpoint{.ip = record.ip(),
                             .port = static_cast<std::uint16_t>(record.port())};
   server.service = InternService(placement, record.service());
+  server.data_centre = InternDataCentre(placement, record.data_centre());
   server.slots = std::max<std::uint32_t>(1, record.slots());
   server.local = record.data_centre() == placement.config.data_centre;
   server.warm_at = now + Milliseconds(record.warmup_ms());
@@ -176,14 +198,22 @@
   for (std::size_t i = 0; i < list.size(); ++i) {
     const ServerIndex index = list[(start + i) % list.size()];
     const PlacedServer& server = placement.servers[index];
+    const PlacedDataCentre& data_centre =
+        placement.data_centres[server.data_centre];
     const double cost = CostOf(placement, server, now) +
                         (Avoided(server, now) ? kAvoidedCost : 0) +
+                        (now < data_centre.avoid_until ? kAvoidedCost : 0) +
                         (except == index ? kExceptCost : 0);
     if (cost < best_cost) {
       best = index;
       best_cost = cost;
     }
   }
+  PlacedDataCentre& chosen =
+      placement.data_centres[placement.servers[*best].data_centre];
+  if (SeemsCutOff(chosen)) {
+    chosen.avoid_until = now + kDataCentreAvoidance;
+  }
   return best;
 }
 
@@ -204,7 +234,11 @@
   server.unanswered += 1;
 }
 
-void NoteAnswered(PlacedServer& server, TimePoint now) {
+void NoteAnswered(Placement& placement, ServerIndex index, TimePoint now) {
+  PlacedServer& server = placement.servers[index];
+  PlacedDataCentre& data_centre = placement.data_centres[server.data_centre];
+  data_centre.unanswered_in_row = 0;
+  data_centre.avoid_until = {};
   server.unanswered -= server.unanswered > 0 ? 1 : 0;
   server.unanswered_since = now;
   server.answered_at = now;
@@ -212,7 +246,13 @@
   server.avoid_until = {};
 }
 
-void NoteUnanswered(PlacedServer& server, TimePoint now) {
+void NoteUnanswered(Placement& placement, ServerIndex index, TimePoint now) {
+  PlacedServer& server = placement.servers[index];
+  PlacedDataCentre& data_centre = placement.data_centres[server.data_centre];
+  data_centre.unanswered_in_row += 1;
+  if (SeemsCutOff(data_centre)) {
+    data_centre.avoid_until = now + kDataCentreAvoidance;
+  }
   server.unanswered -= server.unanswered > 0 ? 1 : 0;
   server.in_flight -= server.in_flight > 0 ? 1 : 0;
   if (now >= server.avoid_until) {
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -28,6 +28,7 @@
   std::uint32_t token = 0;   ///< What flows to it carry.
   Endpoint address;
   ServiceIndex service = 0;
+  std::uint32_t data_centre = 0;  ///< Index into `data_centres`.
   std::uint32_t slots = 1;
   std::uint64_t incarnation = 0;
   bool local = false;   ///< In the data centre of this instance.
@@ -44,6 +45,13 @@
   TimePoint duration_at;   ///< When it was last measured.
 };
 
+/// A data centre as one entry instance reaches it.
+struct PlacedDataCentre {
+  std::string name;
+  std::uint32_t unanswered_in_row = 0;  ///< Openings, over all its servers.
+  TimePoint avoid_until;
+};
+
 struct PlacementConfig {
   std::string data_centre;
   std::uint64_t seed = 0;  ///< Differs between instances.
@@ -52,6 +60,7 @@
 struct Placement {
   PlacementConfig config;
   std::vector<PlacedServer> servers;  ///< Never shrinks; indices stay valid.
+  std::vector<PlacedDataCentre> data_centres;
   std::unordered_map<std::string, ServerIndex> by_id;
   std::unordered_map<std::uint32_t, ServerIndex> by_token;
   std::unordered_map<std::string, ServiceIndex> services;
@@ -89,9 +98,9 @@
 /// An opening packet goes to the server.
 void NoteOpening(PlacedServer& server, TimePoint now);
 /// The caller went on, so the server has accepted the flow.
-void NoteAnswered(PlacedServer& server, TimePoint now);
+void NoteAnswered(Placement& placement, ServerIndex index, TimePoint now);
 /// The caller sent its opening packet again, so the server has not answered.
-void NoteUnanswered(PlacedServer& server, TimePoint now);
+void NoteUnanswered(Placement& placement, ServerIndex index, TimePoint now);
 /// A flow has ended; `duration` is empty when it was given up.
 void NoteEnded(Placement& placement, ServerIndex index, bool answered,
                std::optional<Milliseconds> duration, TimePoint now);
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -39,6 +39,10 @@
     return this->placement.servers[this->placement.by_id.at(id)];
   }
 
+  ServerIndex Index(const std::string& id) {
+    return this->placement.by_id.at(id);
+  }
+
   std::string Choose(TimePoint now = kStart) {
     const auto index = ChooseServer(this->placement, 0, std::nullopt, now);
     return index ? this->placement.servers[*index].id : "";
@@ -118,7 +122,7 @@
   for (int i = 0; i < 50; ++i) {
     STRCMP_EQUAL("b2", this->Choose(soon).c_str());
   }
-  NoteUnanswered(this->Server("a1"), soon);
+  NoteUnanswered(this->placement, this->Index("a1"), soon);
   this->Server("b2").in_flight = 2;
   STRCMP_EQUAL("b2", this->Choose(soon).c_str());
   STRCMP_EQUAL("a1", this->Choose(soon + Milliseconds(400)).c_str());
@@ -127,14 +131,14 @@
 TEST(Placement, WithoutAnotherEvenASilentServerIsTried) {
   this->Add(MakeRecord("a1", 1, "here"));
   NoteOpening(this->Server("a1"), kStart);
-  NoteUnanswered(this->Server("a1"), kStart);
+  NoteUnanswered(this->placement, this->Index("a1"), kStart);
   STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(1)).c_str());
 }
 
 TEST(Placement, ARestartedServerStartsWithACleanRecord) {
   this->Add(MakeRecord("a1", 1, "here"));
   NoteOpening(this->Server("a1"), kStart);
-  NoteUnanswered(this->Server("a1"), kStart);
+  NoteUnanswered(this->placement, this->Index("a1"), kStart);
   this->Add(MakeRecord("a1", 1, "here", 2));
   CHECK(this->Server("a1").avoid_until == TimePoint());
 }
@@ -155,3 +159,34 @@
   // It is tried again once the measurement is old.
   STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(4000)).c_str());
 }
+
+TEST(Placement, ADataCentreThatIsCutOffIsTriedByOneFlowASecond) {
+  // A cut: openings to "there" stay unanswered, those to "here" are answered.
+  for (int i = 0; i < 8; ++i) {
+    this->Add(MakeRecord("b" + std::to_string(i),
+                         static_cast<std::uint32_t>(10 + i), "there"));
+  }
+  this->Add(MakeRecord("a1", 1, "here"));
+  int lost = 0;
+  for (int i = 0; i < 500; ++i) {
+    const TimePoint now = kStart + Milliseconds(10 * i);
+    const ServerIndex index =
+        *ChooseServer(this->placement, 0, std::nullopt, now);
+    NoteOpening(this->placement.servers[index], now);
+    if (this->placement.servers[index].local) {
+      NoteAnswered(this->placement, index, now);
+      // The near server is busy, so the others look better.
+      this->placement.servers[index].in_flight = 5;
+    } else {
+      NoteUnanswered(this->placement, index, now);
+      lost += 1;
+    }
+  }
+  CHECK(lost >= 3);
+  CHECK(lost <= 3 + 6);
+  // It is used again after its first answer.
+  const ServerIndex back = this->Index("b0");
+  NoteOpening(this->placement.servers[back], kStart);
+  NoteAnswered(this->placement, back, kStart + std::chrono::seconds(6));
+  CHECK(this->Choose(kStart + std::chrono::seconds(7)) != "a1");
+}
