--- a/Source/Fleet/ControlTurn.h
+++ b/Source/Fleet/ControlTurn.h
@@ -8,6 +8,12 @@
 /// Internal to Fleet: the steps that the reducers of a control instance share.
 namespace filbertwall {
 
+inline constexpr TimePoint kNever = TimePoint::max();
+
+/// Report intervals until an instance that has just started knows the backend
+/// servers, since each has reported by then.
+inline constexpr int kIntervalsUntilSettled = 2;
+
 struct ControlTurn {
   ControlInstance& instance;
   TimePoint now;
@@ -23,6 +29,22 @@
 /// The leader as far as this instance may say; 0 when there is none.
 InstanceAddress KnownLeader(const ControlTurn& turn);
 
+/// Tells those who do not know all yet, at once or with what comes next.
+void PushUpdates(ControlTurn& turn);
+void PushSoon(ControlTurn& turn);
+/// Asks the other control instances for what they know.
+void SubscribeToOthers(ControlTurn& turn);
+void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
+                     const wire::Subscribe& subscribe);
+void HandleUpdate(ControlTurn& turn, InstanceAddress from,
+                  const wire::Update& update);
+
+void LogServer(ControlTurn& turn, const wire::ServerRecord& record,
+               const std::string& source);
+void HandleReport(ControlTurn& turn, const ServerReported& event);
+/// Answers the reports that another control instance has by now.
+void StepReports(ControlTurn& turn);
+
 void HandleSubmitted(ControlTurn& turn, const RulesSubmitted& event);
 void HandleRead(ControlTurn& turn, const RulesRead& event);
 void HandleVerdict(ControlTurn& turn, const ControlVerdict& verdict);
--- /dev/null
+++ b/Source/Fleet/ControlUpdates.cc
@@ -0,0 +1,224 @@
+#include <algorithm>
+
+#include "Base/Endpoint.h"
+#include "Fleet/ControlTurn.h"
+
+/// What control instances tell each other and the entry instances.
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kSubscribeInterval{1000};
+constexpr Milliseconds kPushDelay{15};
+constexpr Milliseconds kSubscriberTimeout{3000};
+/// A follower speaks for the leader this long after its last heartbeat.
+constexpr Milliseconds kFreshLimit{400};
+
+/// Whether it asked lately, so that it is worth telling.
+bool IsAlive(const Subscriber& subscriber, TimePoint now) {
+  return now - subscriber.heard_at <= kSubscriberTimeout;
+}
+
+bool IsSettledNow(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  const Milliseconds limit =
+      instance.config.announce_interval * kIntervalsUntilSettled;
+  instance.settled =
+      instance.settled || turn.now - instance.started_at >= limit;
+  return instance.settled;
+}
+
+/// What this instance knows, without the contents.
+wire::Update MakeSummary(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  const wire::ControlState& state = instance.replica.committed;
+  wire::Update update;
+  update.set_fresh(!instance.disk_failed &&
+                   KnowsNewest(instance.replica, turn.now, kFreshLimit));
+  update.set_settled(IsSettledNow(turn));
+  for (const wire::Member& member : state.members()) {
+    update.add_control_instances(member.instance());
+  }
+  update.set_data_centre(instance.config.data_centre);
+  update.set_rules_version(state.rules().version());
+  update.set_seq(state.seq());
+  update.set_voter(!instance.disk_failed && IsVoter(instance.replica));
+  if (instance.replica.tip && instance.replica.tip->change().has_rules()) {
+    update.set_pending_version(
+        instance.replica.tip->change().rules().version());
+  }
+  return update;
+}
+
+wire::Update MakeUpdate(ControlTurn& turn, const Subscriber& subscriber) {
+  const ControlInstance& instance = turn.instance;
+  wire::Update update = MakeSummary(turn);
+  update.set_registry_epoch(instance.config.incarnation);
+  update.set_registry_from(subscriber.registry_change);
+  update.set_registry_change(instance.registry.change);
+  for (const wire::ServerRecord& record :
+       RecordsAfter(instance.registry, subscriber.registry_change, turn.now)) {
+    *update.add_servers() = record;
+  }
+  if (subscriber.rules_wanted) {
+    const wire::RoutesUpdate routes =
+        RoutesSince(instance.history, subscriber.rules_version);
+    if (routes.version() != 0) {
+      *update.mutable_routes() = routes;
+    }
+  }
+  return update;
+}
+
+/// Says what this instance knows, without contents.
+void SendBrief(ControlTurn& turn, InstanceAddress to) {
+  wire::FleetMessage message;
+  *message.mutable_update() = MakeSummary(turn);
+  turn.effects.emplace_back(
+      SendMessage{.to = to, .message = std::move(message)});
+}
+
+void SendUpdate(ControlTurn& turn, InstanceAddress to,
+                const Subscriber& subscriber) {
+  wire::FleetMessage message;
+  *message.mutable_update() = MakeUpdate(turn, subscriber);
+  wire::Update& update = *message.mutable_update();
+  if (subscriber.control) {
+    update.set_confirm(update.servers_size() > 0);
+    const Milliseconds lately = kSubscribeInterval * 2;
+    for (const auto& [id, server] : turn.instance.registry.servers) {
+      if (turn.now - server.reported_at <= lately) {
+        update.add_heard(id);
+      }
+    }
+  }
+  turn.effects.emplace_back(
+      SendMessage{.to = to, .message = std::move(message)});
+}
+
+std::set<InstanceAddress> OtherControlInstances(
+    const ControlInstance& instance) {
+  std::set<InstanceAddress> others = instance.config.seeds;
+  for (const wire::Member& member : instance.replica.committed.members()) {
+    others.insert(member.instance());
+  }
+  others.erase(instance.config.self);
+  return others;
+}
+
+}  // namespace
+
+void PushUpdates(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  instance.push_at = kNever;
+  const std::uint64_t version = instance.replica.committed.rules().version();
+  for (const auto& [address, subscriber] : instance.subscribers) {
+    const bool behind =
+        subscriber.registry_change < instance.registry.change ||
+        (subscriber.rules_wanted && subscriber.rules_version < version);
+    if (behind && IsAlive(subscriber, turn.now)) {
+      SendUpdate(turn, address, subscriber);
+    }
+  }
+}
+
+void PushSoon(ControlTurn& turn) {
+  turn.instance.push_at =
+      std::min(turn.instance.push_at, turn.now + kPushDelay);
+}
+
+void SubscribeToOthers(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  instance.subscribe_at = turn.now + kSubscribeInterval;
+  for (const InstanceAddress other : OtherControlInstances(instance)) {
+    instance.replica.config.control_instances.insert(other);
+    const RegistrySource& source = instance.sources[other];
+    wire::FleetMessage message;
+    wire::Subscribe& subscribe = *message.mutable_subscribe();
+    subscribe.set_control(true);
+    subscribe.set_registry_epoch(source.epoch);
+    subscribe.set_registry_change(source.change);
+    turn.effects.emplace_back(
+        SendMessage{.to = other, .message = std::move(message)});
+  }
+}
+
+void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
+                     const wire::Subscribe& subscribe) {
+  ControlInstance& instance = turn.instance;
+  const bool known_epoch =
+      subscribe.registry_epoch() == instance.config.incarnation;
+  if (subscribe.brief()) {
+    SendBrief(turn, from);
+    return;
+  }
+  Subscriber& subscriber = instance.subscribers[from];
+  const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
+  const bool is_confirmation =
+      known_epoch && change > subscriber.registry_change;
+  subscriber = Subscriber{.rules_version = subscribe.rules_version(),
+                          .registry_change = change,
+                          .control = subscribe.control(),
+                          .rules_wanted = subscribe.rules_wanted(),
+                          .heard_at = turn.now};
+  StepReports(turn);
+  const bool complete = change == instance.registry.change;
+  if (subscribe.control() && is_confirmation && complete) {
+    return;  // It only confirms what it was sent.
+  }
+  SendUpdate(turn, from, subscriber);
+}
+
+void HandleUpdate(ControlTurn& turn, InstanceAddress from,
+                  const wire::Update& update) {
+  ControlInstance& instance = turn.instance;
+  RegistrySource& source = instance.sources[from];
+  source.heard_at = turn.now;
+  source.data_centre = update.data_centre();
+  for (const InstanceAddress address : update.control_instances()) {
+    // The leader may be none of the seeds, and has to be asked to join.
+    if (address != instance.config.self) {
+      instance.replica.config.control_instances.insert(address);
+    }
+  }
+  bool changed = false;
+  for (wire::ServerRecord record : update.servers()) {
+    // Each control instance judges silence by itself.
+    record.set_silent(false);
+    const auto known = instance.registry.servers.find(record.id());
+    const bool silent = known != instance.registry.servers.end() &&
+                        known->second.record.silent();
+    record.set_silent(silent &&
+                      known->second.record.sequence() == record.sequence());
+    if (CheckRecord(record).empty() &&
+        MergeRecord(instance.registry, record, turn.now)) {
+      changed = true;
+      LogServer(turn, record, FormatIp(from));
+    }
+  }
+  const std::uint64_t before = instance.registry.change;
+  for (const std::string& id : update.heard()) {
+    NoteHeard(instance.registry, id, turn.now);
+  }
+  if (changed || instance.registry.change != before) {
+    PushSoon(turn);
+  }
+  const bool follows = update.registry_epoch() == source.epoch
+                           ? update.registry_from() <= source.change
+                           : update.registry_from() == 0;
+  if (follows) {
+    source.epoch = update.registry_epoch();
+    source.change = update.registry_change();
+  }
+  instance.settled = instance.settled || update.settled();
+  if (update.confirm()) {
+    wire::FleetMessage message;
+    wire::Subscribe& subscribe = *message.mutable_subscribe();
+    subscribe.set_control(true);
+    subscribe.set_registry_epoch(source.epoch);
+    subscribe.set_registry_change(source.change);
+    turn.effects.emplace_back(
+        SendMessage{.to = from, .message = std::move(message)});
+  }
+}
+
+}  // namespace filbertwall
--- /dev/null
+++ b/Source/Fleet/ServerReports.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+
+#include "Base/Endpoint.h"
+#include "Fleet/ControlTurn.h"
+
+/// Reports of backend servers, from the call to its answer.
+namespace filbertwall {
+namespace {
+
+/// Another control instance must have a record before its server is answered.
+constexpr Milliseconds kConfirmWait{500};
+
+}  // namespace
+
+void StepReports(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  std::uint64_t confirmed = 0;
+  for (const auto& [address, subscriber] : instance.subscribers) {
+    if (subscriber.control) {
+      confirmed = std::max(confirmed, subscriber.registry_change);
+    }
+  }
+  if (instance.replica.committed.members_size() <= 1) {
+    confirmed = instance.registry.change;
+  }
+  std::erase_if(instance.reports, [&](const WaitingReport& report) {
+    if (report.change <= confirmed) {
+      Answer(turn, AnswerCall{.call = report.call,
+                              .verdict = CallVerdict::kAccepted,
+                              .report_next = instance.config.self});
+      return true;
+    }
+    if (turn.now < report.expires_at) {
+      return false;
+    }
+    instance.counters.reports_unconfirmed += 1;
+    Log(turn, EventId::kReportUnconfirmed,
+        "change=" + std::to_string(report.change) +
+            " confirmed=" + std::to_string(confirmed),
+        Severity::kWarning);
+    Answer(turn, AnswerCall{.call = report.call,
+                            .verdict = CallVerdict::kUnavailable,
+                            .reason = "no other control instance has it"});
+    return true;
+  });
+}
+
+void LogServer(ControlTurn& turn, const wire::ServerRecord& record,
+               const std::string& source) {
+  Log(turn, EventId::kServerChanged,
+      "server=" + record.id() + " service=" + record.service() +
+          " phase=" + wire::ServerPhase_Name(record.phase()) +
+          " incarnation=" + std::to_string(record.incarnation()) +
+          " sequence=" + std::to_string(record.sequence()) + " from=" + source);
+}
+
+void HandleReport(ControlTurn& turn, const ServerReported& event) {
+  ControlInstance& instance = turn.instance;
+  instance.counters.reports += 1;
+  const std::string finding = CheckRecord(event.record);
+  if (!finding.empty()) {
+    Log(turn, EventId::kAnnouncementRejected,
+        "server=" + event.record.id() + " " + finding, Severity::kWarning);
+    Answer(turn, AnswerCall{.call = event.call,
+                            .verdict = CallVerdict::kRefused,
+                            .reason = finding});
+    return;
+  }
+  wire::ServerRecord record = event.record;
+  const auto known = instance.registry.servers.find(record.id());
+  if (record.phase() == wire::SERVER_GONE &&
+      known != instance.registry.servers.end()) {
+    // Its address and token are still needed for the flows that it had.
+    const std::uint64_t incarnation = record.incarnation();
+    record = known->second.record;
+    if (incarnation == 0 || incarnation >= record.incarnation()) {
+      record.set_incarnation(std::max(incarnation, record.incarnation()));
+      record.set_phase(wire::SERVER_GONE);
+      record.set_silent(false);
+    }
+  }
+  if (MergeRecord(instance.registry, record, turn.now)) {
+    LogServer(turn, record, "itself");
+    PushSoon(turn);
+  }
+  Server& server = instance.registry.servers.at(record.id());
+  if (record.incarnation() >= server.record.incarnation()) {
+    server.reported_at = turn.now;
+  }
+  if (record.phase() == wire::SERVER_READY) {
+    Answer(turn, AnswerCall{.call = event.call,
+                            .verdict = CallVerdict::kAccepted,
+                            .report_next = instance.config.self});
+    return;
+  }
+  instance.reports.push_back(
+      WaitingReport{.call = event.call,
+                    .change = server.change,
+                    .expires_at = turn.now + kConfirmWait});
+  StepReports(turn);
+  if (!instance.reports.empty()) {
+    PushUpdates(turn);
+  }
+}
+
+}  // namespace filbertwall
--- a/Source/Shell/FleetLink.h
+++ b/Source/Shell/FleetLink.h
@@ -24,7 +24,7 @@
 
   sigc::signal<void(const PeerMessage&)> on_message;
 
-  /// Sends to other instances at `port_of_peers`, or at the own port when it is 0.
+  /// Sends to others at `port_of_peers`, or at the own port when it is 0.
   /// False when the address can't be bound.
   bool Start(const Endpoint& address, std::uint16_t port_of_peers);
 
