Placement: Leave a server out when openings stay pending after an answer

Cause: found on reading: once one of several openings was answered, the others could wait for ever without the server being left out after 50 ms; it was only seen by the copies at 200 ms. Ruled out: nothing else; a test that plays it was red before. Change: openings that are still pending count from the last answer.

--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -66,7 +66,7 @@
   }
   return server.unanswered > 0 &&
          now - server.unanswered_since > kAnswerLimit &&
-         server.answered_at < server.unanswered_since;
+         server.answered_at <= server.unanswered_since;
 }
 
 void Avoid(PlacedServer& server, TimePoint now) {
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -190,3 +190,15 @@
   NoteAnswered(this->placement, back, kStart + std::chrono::seconds(6));
   CHECK(this->Choose(kStart + std::chrono::seconds(7)) != "a1");
 }
+
+TEST(Placement, AServerThatDiesWithOpeningsPendingIsLeftOutAtOnce) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  this->Add(MakeRecord("b2", 2, "here"));
+  // Of two openings one is answered; then the server dies.
+  NoteOpening(this->Server("a1"), kStart);
+  NoteOpening(this->Server("a1"), kStart);
+  NoteAnswered(this->placement, this->Index("a1"), kStart + Milliseconds(5));
+  this->Server("b2").in_flight = 6;
+  STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(30)).c_str());
+  STRCMP_EQUAL("b2", this->Choose(kStart + Milliseconds(60)).c_str());
+}
