Fleet: Send servers in batches by change, and who reports once a second

Found on reading: each answer to a poll looked at all servers; a restarted receiver was sent all of them in one message of some 70 datagrams, of which none may be lost; each push between control instances repeated the list of all servers that had reported (up to 66 times a second). Ruled out: the voters' agreement itself (100 instances: 118 ms). Change: records are indexed by change and sent 100 at a time, the receiver asks for the next; the list of reporting servers goes out once a second; libevent hands changes of interest to the kernel together (4.5 calls a report before). Figures: two new tests red with the old limits, green now. Conclusion: kept for the bounded messages; the main cost is elsewhere.

--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -103,8 +103,9 @@
   }
   instance.saved_change = instance.registry.change;
   SaveRegistry effect;
-  for (wire::ServerRecord& record :
-       RecordsAfter(instance.registry, 0, turn.now)) {
+  RecordBatch all = RecordsAfter(instance.registry, 0,
+                                 instance.registry.servers.size(), turn.now);
+  for (wire::ServerRecord& record : all.records) {
     *effect.saved.add_servers() = std::move(record);
   }
   turn.effects.emplace_back(std::move(effect));
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -29,12 +29,13 @@
   bool control = false;
   bool rules_wanted = false;
   TimePoint heard_at;
+  TimePoint heard_told_at;  ///< When it was told which servers report here.
+  TimePoint batch_until;    ///< It asks for more records before then.
 };
 
 /// Another control instance as a source of records.
 struct RegistrySource {
-  std::uint64_t epoch = 0;
-  std::uint64_t change = 0;
+  RegistryPosition position;
   std::string data_centre;
   TimePoint heard_at;
 };
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -10,6 +10,13 @@
 constexpr Milliseconds kSubscribeInterval{1000};
 constexpr Milliseconds kPushDelay{15};
 constexpr Milliseconds kSubscriberTimeout{3000};
+/// Backend servers in one update; a receiver that lacks more asks again.
+constexpr std::size_t kMostRecords = 100;
+/// A receiver that is being sent many records asks for the next within this
+/// time.
+constexpr Milliseconds kNextBatchTime{150};
+/// Which servers reported here is told to each control instance this often.
+constexpr Milliseconds kHeardInterval{900};
 /// A follower speaks for the leader this long after its last heartbeat.
 constexpr Milliseconds kFreshLimit{400};
 
@@ -54,10 +61,12 @@
   wire::Update update = MakeSummary(turn);
   update.set_registry_epoch(instance.config.incarnation);
   update.set_registry_from(subscriber.registry_change);
-  update.set_registry_change(instance.registry.change);
-  for (const wire::ServerRecord& record :
-       RecordsAfter(instance.registry, subscriber.registry_change, turn.now)) {
-    *update.add_servers() = record;
+  RecordBatch batch = RecordsAfter(
+      instance.registry, subscriber.registry_change, kMostRecords, turn.now);
+  update.set_registry_change(batch.change);
+  update.set_partial(!batch.complete);
+  for (wire::ServerRecord& record : batch.records) {
+    *update.add_servers() = std::move(record);
   }
   if (subscriber.rules_wanted) {
     const wire::RoutesUpdate routes =
@@ -77,19 +86,30 @@
       SendMessage{.to = to, .message = std::move(message)});
 }
 
-void SendUpdate(ControlTurn& turn, InstanceAddress to,
-                const Subscriber& subscriber) {
+/// Tells another control instance which servers reported here lately.
+void AddHeard(ControlTurn& turn, Subscriber& subscriber, wire::Update& update) {
+  if (turn.now - subscriber.heard_told_at < kHeardInterval) {
+    return;
+  }
+  subscriber.heard_told_at = turn.now;
+  const Milliseconds lately = kSubscribeInterval * 2;
+  for (const auto& [id, server] : turn.instance.registry.servers) {
+    if (turn.now - server.reported_at <= lately) {
+      update.add_heard(id);
+    }
+  }
+}
+
+void SendUpdate(ControlTurn& turn, InstanceAddress to, Subscriber& subscriber) {
   wire::FleetMessage message;
   *message.mutable_update() = MakeUpdate(turn, subscriber);
   wire::Update& update = *message.mutable_update();
+  update.set_confirm(update.partial() ||
+                     (subscriber.control && update.servers_size() > 0));
+  subscriber.batch_until =
+      update.partial() ? turn.now + kNextBatchTime : TimePoint();
   if (subscriber.control) {
-    update.set_confirm(update.servers_size() > 0);
-    const Milliseconds lately = kSubscribeInterval * 2;
-    for (const auto& [id, server] : turn.instance.registry.servers) {
-      if (turn.now - server.reported_at <= lately) {
-        update.add_heard(id);
-      }
-    }
+    AddHeard(turn, subscriber, update);
   }
   turn.effects.emplace_back(
       SendMessage{.to = to, .message = std::move(message)});
@@ -111,11 +131,13 @@
   ControlInstance& instance = turn.instance;
   instance.push_at = kNever;
   const std::uint64_t version = instance.replica.committed.rules().version();
-  for (const auto& [address, subscriber] : instance.subscribers) {
+  for (auto& [address, subscriber] : instance.subscribers) {
     const bool behind =
         subscriber.registry_change < instance.registry.change ||
         (subscriber.rules_wanted && subscriber.rules_version < version);
-    if (behind && IsAlive(subscriber, turn.now)) {
+    // One that is being sent many records will ask for what is new with them.
+    const bool asks_soon = turn.now < subscriber.batch_until;
+    if (behind && !asks_soon && IsAlive(subscriber, turn.now)) {
       SendUpdate(turn, address, subscriber);
     }
   }
@@ -135,8 +157,8 @@
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.epoch);
-    subscribe.set_registry_change(source.change);
+    subscribe.set_registry_epoch(source.position.epoch);
+    subscribe.set_registry_change(source.position.change);
     turn.effects.emplace_back(
         SendMessage{.to = other, .message = std::move(message)});
   }
@@ -159,7 +181,8 @@
                           .registry_change = change,
                           .control = subscribe.control(),
                           .rules_wanted = subscribe.rules_wanted(),
-                          .heard_at = turn.now};
+                          .heard_at = turn.now,
+                          .heard_told_at = subscriber.heard_told_at};
   StepReports(turn);
   const bool complete = change == instance.registry.change;
   if (subscribe.control() && is_confirmation && complete) {
@@ -202,20 +225,14 @@
   if (changed || instance.registry.change != before) {
     PushSoon(turn);
   }
-  const bool follows = update.registry_epoch() == source.epoch
-                           ? update.registry_from() <= source.change
-                           : update.registry_from() == 0;
-  if (follows) {
-    source.epoch = update.registry_epoch();
-    source.change = update.registry_change();
-  }
+  NoteContents(source.position, update);
   instance.settled = instance.settled || update.settled();
   if (update.confirm()) {
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.epoch);
-    subscribe.set_registry_change(source.change);
+    subscribe.set_registry_epoch(source.position.epoch);
+    subscribe.set_registry_change(source.position.change);
     turn.effects.emplace_back(
         SendMessage{.to = from, .message = std::move(message)});
   }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -51,8 +51,8 @@
   wire::Subscribe& subscribe = *message.mutable_subscribe();
   subscribe.set_rules_version(instance.forwarder.routes.version);
   subscribe.set_rules_wanted(true);
-  subscribe.set_registry_epoch(source.epoch);
-  subscribe.set_registry_change(source.change);
+  subscribe.set_registry_epoch(source.position.epoch);
+  subscribe.set_registry_change(source.position.change);
   turn.effects.emplace_back(
       SendMessage{.to = to, .message = std::move(message)});
 }
@@ -221,15 +221,12 @@
                        update.control_instances().end());
   TakeServers(turn, update);
   const bool has_contents = update.registry_epoch() != 0;
-  const bool follows = update.registry_epoch() == source.epoch
-                           ? update.registry_from() <= source.change
-                           : update.registry_from() == 0;
-  if (has_contents && follows) {
-    source.epoch = update.registry_epoch();
-    source.change = update.registry_change();
+  if (has_contents) {
+    NoteContents(source.position, update);
   }
   instance.servers_known =
-      instance.servers_known || (has_contents && update.settled());
+      instance.servers_known ||
+      (has_contents && update.settled() && !update.partial());
   TakeRoutes(turn, update);
   ConfirmRules(turn, update);
   AskForMissing(turn, from, update);
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -20,8 +20,7 @@
 
 /// A control instance as this one hears it.
 struct ControlSource {
-  std::uint64_t epoch = 0;
-  std::uint64_t change = 0;
+  RegistryPosition position;
   std::string data_centre;
   TimePoint heard_at;
   TimePoint fresh_at;  ///< Last time that it knew the newest rules.
--- /dev/null
+++ b/Source/Fleet/Fleet.cc
@@ -0,0 +1,20 @@
+#include "Fleet/Fleet.h"
+
+#include <algorithm>
+
+namespace filbertwall {
+
+void NoteContents(RegistryPosition& position, const wire::Update& update) {
+  if (update.registry_epoch() == position.epoch) {
+    const bool follows = update.registry_from() <= position.change;
+    // Updates may overtake each other.
+    position.change = follows
+                          ? std::max(position.change, update.registry_change())
+                          : position.change;
+  } else if (update.registry_from() == 0) {
+    position.epoch = update.registry_epoch();
+    position.change = update.registry_change();
+  }
+}
+
+}  // namespace filbertwall
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -40,4 +40,13 @@
   wire::FleetMessage message;
 };
 
+/// How far the records of one control instance have arrived here.
+struct RegistryPosition {
+  std::uint64_t epoch = 0;   ///< The start of that control instance.
+  std::uint64_t change = 0;  ///< All changes up to it have arrived.
+};
+
+/// Moves on when the records of `update` follow on what has arrived.
+void NoteContents(RegistryPosition& position, const wire::Update& update);
+
 }  // namespace filbertwall
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -1,6 +1,7 @@
 #include "Registry/Registry.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace filbertwall {
 namespace {
@@ -33,6 +34,13 @@
   return !same;
 }
 
+/// Gives the server the registry's next change.
+void NoteChange(Registry& registry, const std::string& id, Server& server) {
+  registry.ids_by_change.erase(server.change);
+  server.change = ++registry.change;
+  registry.ids_by_change.emplace(server.change, id);
+}
+
 std::uint32_t WarmupLeft(const Server& server, TimePoint now) {
   const std::int64_t left =
       server.record.warmup_ms() - MillisecondsBetween(server.stated_at, now);
@@ -80,7 +88,7 @@
   }
   server.record = record;
   server.stated_at = now;
-  server.change = ++registry.change;
+  NoteChange(registry, record.id(), server);
   return true;
 }
 
@@ -92,7 +100,7 @@
   server->second.heard_at = std::max(server->second.heard_at, now);
   if (server->second.record.silent()) {
     server->second.record.set_silent(false);
-    server->second.change = ++registry.change;
+    NoteChange(registry, id, server->second);
   }
 }
 
@@ -103,7 +111,7 @@
     if (lapsed && !server.record.silent() &&
         server.record.phase() != wire::SERVER_GONE) {
       server.record.set_silent(true);
-      server.change = ++registry.change;
+      NoteChange(registry, id, server);
       marked += 1;
     }
   }
@@ -115,21 +123,30 @@
     const Server& server = item.second;
     const bool over =
         server.record.phase() == wire::SERVER_GONE || server.record.silent();
-    return over && now - std::max(server.stated_at, server.heard_at) > limit;
+    const bool forgotten =
+        over && now - std::max(server.stated_at, server.heard_at) > limit;
+    if (forgotten) {
+      registry.ids_by_change.erase(server.change);
+    }
+    return forgotten;
   });
 }
 
-std::vector<wire::ServerRecord> RecordsAfter(const Registry& registry,
-                                             std::uint64_t change,
-                                             TimePoint now) {
-  std::vector<wire::ServerRecord> records;
-  for (const auto& [id, server] : registry.servers) {
-    if (server.change > change) {
-      records.push_back(server.record);
-      records.back().set_warmup_ms(WarmupLeft(server, now));
+RecordBatch RecordsAfter(const Registry& registry, std::uint64_t change,
+                         std::size_t most, TimePoint now) {
+  RecordBatch batch{.change = registry.change};
+  auto next = registry.ids_by_change.upper_bound(change);
+  for (; next != registry.ids_by_change.end(); ++next) {
+    if (batch.records.size() >= most) {
+      batch.change = std::prev(next)->first;
+      batch.complete = false;
+      break;
     }
+    const Server& server = registry.servers.at(next->second);
+    batch.records.push_back(server.record);
+    batch.records.back().set_warmup_ms(WarmupLeft(server, now));
   }
-  return records;
+  return batch;
 }
 
 }  // namespace filbertwall
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -29,6 +29,16 @@
 struct Registry {
   std::map<std::string, Server> servers;  ///< By id.
   std::uint64_t change = 0;  ///< Rises with each record that is taken.
+  /// Each server's id by its `change`, so that what is new is found without a
+  /// look at the others.
+  std::map<std::uint64_t, std::string> ids_by_change;
+};
+
+/// Records in the order in which they were taken.
+struct RecordBatch {
+  std::vector<wire::ServerRecord> records;
+  std::uint64_t change = 0;  ///< All up to it are in this or earlier batches.
+  bool complete = true;      ///< There are no later ones.
 };
 
 /// What a record lacks; empty when it may be used.
@@ -48,10 +58,9 @@
 /// Forgets those that have been gone or silent for `limit`.
 void ForgetGone(Registry& registry, Milliseconds limit, TimePoint now);
 
-/// The records that were taken after `change`, with the warm-up time that is
-/// left now.
-std::vector<wire::ServerRecord> RecordsAfter(const Registry& registry,
-                                             std::uint64_t change,
-                                             TimePoint now);
+/// The first `most` records that were taken after `change`, with the warm-up
+/// time that is left now.
+RecordBatch RecordsAfter(const Registry& registry, std::uint64_t change,
+                         std::size_t most, TimePoint now);
 
 }  // namespace filbertwall
--- a/Source/Shell/FleetLoop.cc
+++ b/Source/Shell/FleetLoop.cc
@@ -17,9 +17,18 @@
                  .tv_usec = time.count() % kMicrosecondsPerSecond};
 }
 
+/// Changes of what is waited for go to the kernel together, before it waits.
+event_base* MakeBase() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
 }  // namespace
 
-FleetLoop::FleetLoop() : base(event_base_new(), &event_base_free) {
+FleetLoop::FleetLoop() : base(MakeBase(), &event_base_free) {
   std::signal(SIGPIPE, SIG_IGN);
   this->timer = evtimer_new(this->Base(), &FleetLoop::OnTimer, this);
   this->terminate =
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -267,3 +267,41 @@
   CHECK(DecidePacket(entry.forwarder, opening, later).verdict ==
         Verdict::kForward);
 }
+
+TEST(Fleet, ManyServersTravelInSmallMessages) {
+  constexpr int kServers = 1000;
+  constexpr int kLargestBatch = 100;
+  for (int i = 0; i < kServers; ++i) {
+    Report(this->world, 1, "b" + std::to_string(i), 1);
+  }
+  Run(this->world, Milliseconds(500));
+  int largest = 0;
+  std::size_t records = 0;
+  this->world.sent = [&](InstanceAddress, const SendMessage& effect) {
+    if (effect.to == kFirstEntry) {
+      largest = std::max(largest, effect.message.update().servers_size());
+      records += effect.message.update().servers_size();
+    }
+  };
+  StartEntry(this->world, kFirstEntry);
+  Run(this->world, Milliseconds(500));
+  CHECK(IsReady(this->world.entries.at(kFirstEntry)));
+  CHECK(IsUsableAt(this->world, kFirstEntry, "b999"));
+  CHECK(largest <= kLargestBatch);
+  CHECK(records <= 2 * kServers);
+}
+
+TEST(Fleet, ControlInstancesTellWhoReportsOnceASecond) {
+  std::size_t told = 0;
+  this->world.sent = [&](InstanceAddress, const SendMessage& effect) {
+    told += effect.message.update().heard_size() > 0 ? 1 : 0;
+  };
+  constexpr int kSeconds = 3;
+  for (int i = 0; i < kSeconds * 20; ++i) {
+    Report(this->world, 1, "c" + std::to_string(i), 1);
+    Run(this->world, Milliseconds(50));
+  }
+  // Each of two instances that servers report to tells three others.
+  CHECK(told <= 2 * 3 * (kSeconds + 1));
+  CHECK(told > 0);
+}
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -24,6 +24,9 @@
   /// Whether a message from the first to the second is lost.
   std::function<bool(InstanceAddress, InstanceAddress)> cut =
       [](InstanceAddress, InstanceAddress) { return false; };
+  /// Sees each message, also those that are lost.
+  std::function<void(InstanceAddress, const SendMessage&)> sent =
+      [](InstanceAddress, const SendMessage&) {};
   struct Letter {
     InstanceAddress from = 0;
     SendMessage message;
@@ -36,6 +39,7 @@
 
 inline void Carry(FleetWorld& world, InstanceAddress from,
                   const SendMessage& effect) {
+  world.sent(from, effect);
   if (!world.cut(from, effect.to)) {
     world.letters.push_back({.from = from, .message = effect});
   }
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr std::size_t kMost = 100;
 
 wire::ServerRecord MakeRecord(std::uint64_t incarnation, std::uint64_t sequence,
                               wire::ServerPhase phase = wire::SERVER_READY) {
@@ -58,7 +59,7 @@
   const std::uint64_t change = this->registry.change;
   CHECK_FALSE(MergeRecord(this->registry, MakeRecord(5, 2), kStart));
   CHECK_EQUAL(change, this->registry.change);
-  CHECK(RecordsAfter(this->registry, change, kStart).empty());
+  CHECK(RecordsAfter(this->registry, change, kMost, kStart).records.empty());
   // Its sequence counts all the same.
   CHECK_FALSE(MergeRecord(this->registry,
                           MakeRecord(5, 1, wire::SERVER_DRAINING), kStart));
@@ -80,13 +81,43 @@
   wire::ServerRecord record = MakeRecord(5, 1);
   record.set_warmup_ms(2000);
   MergeRecord(this->registry, record, kStart);
-  const auto soon = RecordsAfter(this->registry, 0, kStart + Milliseconds(500));
+  const auto soon =
+      RecordsAfter(this->registry, 0, kMost, kStart + Milliseconds(500)).records;
   LONGS_EQUAL(1500, soon[0].warmup_ms());
   const auto late =
-      RecordsAfter(this->registry, 0, kStart + Milliseconds(2500));
+      RecordsAfter(this->registry, 0, kMost, kStart + Milliseconds(2500))
+          .records;
   LONGS_EQUAL(0, late[0].warmup_ms());
 }
 
+TEST(Registry, RecordsComeInBatchesByChange) {
+  for (int i = 0; i < 5; ++i) {
+    wire::ServerRecord record = MakeRecord(1, 1);
+    record.set_id("i-" + std::to_string(i));
+    MergeRecord(this->registry, record, kStart);
+  }
+  wire::ServerRecord again = MakeRecord(2, 1);
+  again.set_id("i-0");
+  MergeRecord(this->registry, again, kStart);
+  const RecordBatch first = RecordsAfter(this->registry, 0, 3, kStart);
+  CHECK_FALSE(first.complete);
+  LONGS_EQUAL(3, first.records.size());
+  STRCMP_EQUAL("i-1", first.records[0].id().c_str());
+  const RecordBatch second =
+      RecordsAfter(this->registry, first.change, 3, kStart);
+  CHECK(second.complete);
+  LONGS_EQUAL(2, second.records.size());
+  STRCMP_EQUAL("i-0", second.records[1].id().c_str());
+  CHECK_EQUAL(this->registry.change, second.change);
+}
+
+TEST(Registry, ForgottenServersAreNotTold) {
+  constexpr Milliseconds kLimit{1000};
+  MergeRecord(this->registry, MakeRecord(5, 3, wire::SERVER_GONE), kStart);
+  ForgetGone(this->registry, kLimit, kStart + kLimit + Milliseconds(1));
+  CHECK(RecordsAfter(this->registry, 0, kMost, kStart).records.empty());
+}
+
 TEST(Registry, RecordsOfOtherWritersAreChecked) {
   CHECK(CheckRecord(MakeRecord(1, 1)).empty());
   wire::ServerRecord record = MakeRecord(1, 1);
