Entry, Fleet: Hold opening packets while an instance starts; tell entry instances of returns

Ruled out: the start of a process (30 ms at entry instances); shorter polls (93 instances would ask each control instance 460 times a second); believing one control instance (an older version could be obeyed again). Change: a control instance remembers its followers on disk and tells them that it is back; control instances pass on what others know, so that a majority is known from one of them at once. Opening packets are held until their callers send the next copy, and go out over 400 ms, first those that may still be served in time.

--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -92,17 +92,29 @@
     }
   }
   instance.settled = saved.servers_size() > 0;
+  instance.former_followers.insert(saved.followers().begin(),
+                                   saved.followers().end());
+  instance.saved_followers = instance.former_followers;
   instance.saved_change = instance.registry.change;
 }
 
 void SaveServers(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   instance.save_at = turn.now + kSaveInterval;
-  if (instance.saved_change == instance.registry.change) {
+  std::set<InstanceAddress> followers = LiveFollowers(instance, turn.now);
+  // After a start they need time to find this instance again.
+  const bool fewer = std::includes(instance.saved_followers.begin(),
+                                   instance.saved_followers.end(),
+                                   followers.begin(), followers.end());
+  if (instance.saved_change == instance.registry.change && fewer) {
     return;
   }
   instance.saved_change = instance.registry.change;
+  instance.saved_followers = followers;
   SaveRegistry effect;
+  for (const InstanceAddress follower : followers) {
+    effect.saved.add_followers(follower);
+  }
   RecordBatch all = RecordsAfter(instance.registry, 0,
                                  instance.registry.servers.size(), turn.now);
   for (wire::ServerRecord& record : all.records) {
@@ -155,6 +167,7 @@
     TakeCommitted(this->turn);
     RunReplica(this->turn, ControlStarted{});
     SubscribeToOthers(this->turn);
+    TellFollowers(this->turn);
   }
   void operator()(const ControlInstanceDue&) { HandleDue(this->turn); }
   void operator()(const PeerMessage& event) {
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +39,8 @@
   RegistryPosition position;
   std::string data_centre;
   TimePoint heard_at;
+  wire::Knowledge knowledge;  ///< What it last said that it knows.
+  TimePoint knowledge_at;
 };
 
 /// A rules file on its way to its verdict.
@@ -84,6 +87,9 @@
   TimePoint housekeeping_at;
   TimePoint save_at;
   std::uint64_t saved_change = 0;  ///< The registry's change last saved.
+  std::set<InstanceAddress> saved_followers;
+  /// Entry instances that were told of changes before this start.
+  std::set<InstanceAddress> former_followers;
   bool settled = false;  ///< Knows the backend servers since its start.
   bool stopping = false;
   bool disk_failed = false;  ///< Takes no part in agreement meanwhile.
--- a/Source/Fleet/ControlTurn.h
+++ b/Source/Fleet/ControlTurn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,12 @@
 /// Tells those who do not know all yet, at once or with what comes next.
 void PushUpdates(ControlTurn& turn);
 void PushSoon(ControlTurn& turn);
+/// Tells entry instances what is known here, without contents: those that are
+/// told of changes, and after a start those that were before it.
+void TellFollowers(ControlTurn& turn);
+/// Entry instances that asked lately.
+std::set<InstanceAddress> LiveFollowers(const ControlInstance& instance,
+                                        TimePoint now);
 /// Asks the other control instances for what they know.
 void SubscribeToOthers(ControlTurn& turn);
 void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -15,6 +15,10 @@
 /// A receiver that is being sent many records asks for the next within this
 /// time.
 constexpr Milliseconds kNextBatchTime{150};
+/// Words of other control instances are passed on for this long.
+constexpr Milliseconds kKnowledgeLifetime{1500};
+/// Entry instances of before a restart ask by themselves after this time.
+constexpr Milliseconds kFormerFollowerTime{3000};
 /// Which servers reported here is told to each control instance this often.
 constexpr Milliseconds kHeardInterval{900};
 /// A follower speaks for the leader this long after its last heartbeat.
@@ -34,6 +38,24 @@
   return instance.settled;
 }
 
+wire::Knowledge OwnKnowledge(const ControlInstance& instance) {
+  const wire::ControlState& state = instance.replica.committed;
+  wire::Knowledge knowledge;
+  knowledge.set_instance(instance.config.self);
+  knowledge.set_voter(!instance.disk_failed && IsVoter(instance.replica));
+  knowledge.set_seq(state.seq());
+  knowledge.set_newest_version(state.rules().version());
+  if (instance.replica.tip && instance.replica.tip->change().has_rules()) {
+    knowledge.set_newest_version(
+        std::max(state.rules().version(),
+                 instance.replica.tip->change().rules().version()));
+  }
+  for (const wire::Member& member : state.members()) {
+    knowledge.add_control_instances(member.instance());
+  }
+  return knowledge;
+}
+
 /// What this instance knows, without the contents.
 wire::Update MakeSummary(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
@@ -48,10 +70,10 @@
   update.set_data_centre(instance.config.data_centre);
   update.set_rules_version(state.rules().version());
   update.set_seq(state.seq());
-  update.set_voter(!instance.disk_failed && IsVoter(instance.replica));
-  if (instance.replica.tip && instance.replica.tip->change().has_rules()) {
-    update.set_pending_version(
-        instance.replica.tip->change().rules().version());
+  const wire::Knowledge own = OwnKnowledge(instance);
+  update.set_voter(own.voter());
+  if (own.newest_version() > state.rules().version()) {
+    update.set_pending_version(own.newest_version());
   }
   return update;
 }
@@ -78,10 +100,16 @@
   return update;
 }
 
-/// Says what this instance knows, without contents.
+/// Says what this instance and others that it hears know, without contents.
 void SendBrief(ControlTurn& turn, InstanceAddress to) {
   wire::FleetMessage message;
   *message.mutable_update() = MakeSummary(turn);
+  for (const auto& [address, source] : turn.instance.sources) {
+    const bool lately = turn.now - source.knowledge_at <= kKnowledgeLifetime;
+    if (source.knowledge.instance() != 0 && lately) {
+      *message.mutable_update()->add_others() = source.knowledge;
+    }
+  }
   turn.effects.emplace_back(
       SendMessage{.to = to, .message = std::move(message)});
 }
@@ -115,6 +143,21 @@
       SendMessage{.to = to, .message = std::move(message)});
 }
 
+/// Takes what another control instance says that it knows. When it was away,
+/// entry instances are told at once, since they may wait for a majority.
+void TakeKnowledge(ControlTurn& turn, InstanceAddress from,
+                   const wire::Knowledge& knowledge) {
+  RegistrySource& source = turn.instance.sources[from];
+  const bool returned = source.knowledge.instance() == 0 ||
+                        turn.now - source.knowledge_at > kKnowledgeLifetime;
+  source.knowledge = knowledge;
+  source.knowledge.set_instance(from);
+  source.knowledge_at = turn.now;
+  if (returned) {
+    TellFollowers(turn);
+  }
+}
+
 std::set<InstanceAddress> OtherControlInstances(
     const ControlInstance& instance) {
   std::set<InstanceAddress> others = instance.config.seeds;
@@ -127,6 +170,29 @@
 
 }  // namespace
 
+void TellFollowers(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
+  std::set<InstanceAddress> followers = LiveFollowers(instance, turn.now);
+  if (turn.now - instance.started_at <= kFormerFollowerTime) {
+    followers.insert(instance.former_followers.begin(),
+                     instance.former_followers.end());
+  }
+  for (const InstanceAddress follower : followers) {
+    SendBrief(turn, follower);
+  }
+}
+
+std::set<InstanceAddress> LiveFollowers(const ControlInstance& instance,
+                                        TimePoint now) {
+  std::set<InstanceAddress> followers;
+  for (const auto& [address, subscriber] : instance.subscribers) {
+    if (!subscriber.control && IsAlive(subscriber, now)) {
+      followers.insert(address);
+    }
+  }
+  return followers;
+}
+
 void PushUpdates(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   instance.push_at = kNever;
@@ -159,6 +225,7 @@
     subscribe.set_control(true);
     subscribe.set_registry_epoch(source.position.epoch);
     subscribe.set_registry_change(source.position.change);
+    *subscribe.mutable_knowledge() = OwnKnowledge(instance);
     turn.effects.emplace_back(
         SendMessage{.to = other, .message = std::move(message)});
   }
@@ -173,6 +240,9 @@
     SendBrief(turn, from);
     return;
   }
+  if (subscribe.has_knowledge()) {
+    TakeKnowledge(turn, from, subscribe.knowledge());
+  }
   Subscriber& subscriber = instance.subscribers[from];
   const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
   const bool is_confirmation =
@@ -227,6 +297,7 @@
   }
   NoteContents(source.position, update);
   instance.settled = instance.settled || update.settled();
+  TakeKnowledge(turn, from, KnowledgeIn(update));
   if (update.confirm()) {
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -110,7 +110,9 @@
   if (serving && !instance.forwarder.serving) {
     Log(turn, EventId::kServing,
         "version=" + std::to_string(instance.forwarder.routes.version) +
-            " servers=" + std::to_string(instance.registry.servers.size()));
+            " servers=" + std::to_string(instance.registry.servers.size()) +
+            " held=" + std::to_string(instance.forwarder.held.openings.size()));
+    StartRelease(instance.forwarder.held, turn.now);
   }
   instance.forwarder.serving = serving;
 }
@@ -153,28 +155,32 @@
 /// what is in force here. An accepted version is stored by a majority, so one
 /// of these would know it. The set of voters is that of whoever knows most.
 bool IsConfirmedByMajority(const EntryInstance& instance) {
-  const ControlSource* latest = nullptr;
+  const wire::Knowledge* latest = nullptr;
   for (const auto& [address, source] : instance.sources) {
-    if (source.voter && (latest == nullptr || source.seq > latest->seq)) {
-      latest = &source;
+    const wire::Knowledge& knowledge = source.knowledge;
+    if (knowledge.voter() &&
+        (latest == nullptr || knowledge.seq() > latest->seq())) {
+      latest = &knowledge;
     }
   }
   if (latest == nullptr || instance.forwarder.routes.version == 0) {
     return false;
   }
-  std::size_t agreeing = 0;
-  for (const InstanceAddress voter : latest->voters) {
+  int agreeing = 0;
+  for (const InstanceAddress voter : latest->control_instances()) {
     const auto source = instance.sources.find(voter);
-    const bool heard = source != instance.sources.end() && source->second.voter;
+    const bool heard =
+        source != instance.sources.end() && source->second.knowledge.voter();
     if (!heard) {
       continue;
     }
-    if (source->second.newest_version > instance.forwarder.routes.version) {
+    if (source->second.knowledge.newest_version() >
+        instance.forwarder.routes.version) {
       return false;
     }
     agreeing += 1;
   }
-  return 2 * agreeing > latest->voters.size();
+  return 2 * agreeing > latest->control_instances_size();
 }
 
 void ConfirmRules(Turn& turn, const wire::Update& update) {
@@ -204,21 +210,30 @@
   }
 }
 
+/// Takes what a control instance knows by the word of another; what it said
+/// itself goes before an older word of it.
+void TakeKnowledge(ControlSource& source, const wire::Knowledge& knowledge) {
+  const std::uint64_t newest =
+      std::max(source.knowledge.newest_version(), knowledge.newest_version());
+  if (knowledge.seq() >= source.knowledge.seq()) {
+    source.knowledge = knowledge;
+  }
+  source.knowledge.set_newest_version(newest);
+}
+
 void HandleUpdate(Turn& turn, InstanceAddress from,
                   const wire::Update& update) {
   EntryInstance& instance = turn.instance;
   for (const InstanceAddress address : update.control_instances()) {
     instance.sources.try_emplace(address);
   }
+  for (const wire::Knowledge& other : update.others()) {
+    TakeKnowledge(instance.sources[other.instance()], other);
+  }
   ControlSource& source = instance.sources[from];
   source.heard_at = turn.now;
   source.data_centre = update.data_centre();
-  source.voter = update.voter();
-  source.seq = update.seq();
-  source.newest_version =
-      std::max(update.rules_version(), update.pending_version());
-  source.voters.assign(update.control_instances().begin(),
-                       update.control_instances().end());
+  source.knowledge = KnowledgeIn(update);
   TakeServers(turn, update);
   const bool has_contents = update.registry_epoch() != 0;
   if (has_contents) {
@@ -310,7 +325,8 @@
 }
 
 TimePoint NextDue(const EntryInstance& instance) {
-  TimePoint due = std::min(instance.poll_at, instance.housekeeping_at);
+  TimePoint due = std::min({instance.poll_at, instance.housekeeping_at,
+                            instance.forwarder.held.release_at});
   if (instance.stopping) {
     due = std::min(due, instance.stop_at);
   }
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -23,12 +23,9 @@
   RegistryPosition position;
   std::string data_centre;
   TimePoint heard_at;
-  TimePoint fresh_at;  ///< Last time that it knew the newest rules.
-  TimePoint asked_at;  ///< Last time that its contents were asked for.
-  bool voter = false;
-  std::uint64_t seq = 0;                ///< Committed entries that it knew.
-  std::uint64_t newest_version = 0;     ///< Committed there, or stored only.
-  std::vector<InstanceAddress> voters;  ///< By what it has committed.
+  TimePoint fresh_at;         ///< Last time that it knew the newest rules.
+  TimePoint asked_at;         ///< Last time that its contents were asked for.
+  wire::Knowledge knowledge;  ///< By its own or another's word.
 };
 
 struct EntryInstance {
--- a/Source/Fleet/Fleet.cc
+++ b/Source/Fleet/Fleet.cc
@@ -17,4 +17,14 @@
   }
 }
 
+wire::Knowledge KnowledgeIn(const wire::Update& update) {
+  wire::Knowledge knowledge;
+  knowledge.set_voter(update.voter());
+  knowledge.set_seq(update.seq());
+  knowledge.set_newest_version(
+      std::max(update.rules_version(), update.pending_version()));
+  *knowledge.mutable_control_instances() = update.control_instances();
+  return knowledge;
+}
+
 }  // namespace filbertwall
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -46,6 +46,9 @@
   std::uint64_t change = 0;  ///< All changes up to it have arrived.
 };
 
+/// What the sender of `update` says that it knows; its address is left out.
+wire::Knowledge KnowledgeIn(const wire::Update& update);
+
 /// Moves on when the records of `update` follow on what has arrived.
 void NoteContents(RegistryPosition& position, const wire::Update& update);
 
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -86,6 +86,12 @@
              "unknown_token");
   AddCounter(samples, "packets_total", packets, figures.malformed_packets,
              "malformed");
+  const std::string held =
+      "Opening packets that came before this instance served.";
+  AddCounter(samples, "held_openings_total", held,
+             instance.forwarder.held.released, "released");
+  AddCounter(samples, "held_openings_total", held,
+             instance.forwarder.held.lapsed, "lapsed");
   AddCounter(samples, "packet_send_failures_total",
              "Packets that the socket did not take.", figures.send_failures);
   AddCounter(samples, "flows_expired_total",
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -88,11 +88,6 @@
 
 }  // namespace
 
-std::size_t FlowKeyHash::operator()(const FlowKey& key) const {
-  const std::uint64_t caller = KeyOf(key.caller);
-  return MixHash(caller, KeyOf(key.address));
-}
-
 Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
                       TimePoint now) {
   ExpireFlows(forwarder, now);
@@ -101,8 +96,10 @@
   }
   if (packet.opens) {
     return forwarder.serving ? Open(forwarder, packet, now)
-                             : Drop(ForwardReason::kNotServing);
+                             : Decision{.verdict = Verdict::kHold,
+                                        .reason = ForwardReason::kNotServing};
   }
+  ForgetOpening(forwarder.held, packet.key);
   NotePacket(forwarder, packet, now);
   if (forwarder.routes.dropped.contains(KeyOf(packet.key.address))) {
     forwarder.counters.no_route += 1;
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -8,6 +8,8 @@
 #include "Base/Endpoint.h"
 #include "Base/Histogram.h"
 #include "Base/Time.h"
+#include "Forwarding/FlowPacket.h"
+#include "Forwarding/HeldOpenings.h"
 #include "Forwarding/RouteTable.h"
 #include "Placement/Placement.h"
 
@@ -19,29 +21,13 @@
 /// serves placement only, and may be lost. Not thread safe.
 namespace filbertwall {
 
-/// The two ends of a flow as its caller sees them.
-struct FlowKey {
-  Endpoint caller;
-  Endpoint address;
-  bool operator==(const FlowKey&) const = default;
+enum class Verdict {
+  kForward,
+  kReset,
+  kDrop,
+  kHold,  ///< Keep the packet until this instance serves, by `HoldOpening`.
 };
 
-struct FlowKeyHash {
-  std::size_t operator()(const FlowKey& key) const;
-};
-
-/// What a packet from a caller says to the forwarder.
-struct FlowPacket {
-  FlowKey key;
-  bool opens = false;        ///< The first packet of a flow, or a copy of it.
-  bool closes = false;       ///< The caller sends nothing after it.
-  bool aborts = false;       ///< The caller has reset the flow.
-  std::uint32_t copies = 0;  ///< Of an opening packet, sent before this one.
-  std::uint32_t token = 0;
-};
-
-enum class Verdict { kForward, kReset, kDrop };
-
 /// Why a packet was not forwarded, or where a new flow goes.
 enum class ForwardReason {
   kToken,         ///< Forwarded by its token.
@@ -86,6 +72,7 @@
   /// Opening packets are dropped until then: they waited while this instance
   /// stood still, and their callers have opened the flow elsewhere since.
   TimePoint discard_openings_until;
+  HeldOpenings held;  ///< While this instance does not serve yet.
   std::size_t flow_limit = 100000;
   std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
   /// Flows by the time that they may have ended, in that order.
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -65,6 +65,8 @@
   void HandleCall(std::uint64_t id, const HttpRequest& request);
   void HandlePackets(std::span<const ReceivedDatagram> batch);
   void HandlePacket(const ReceivedDatagram& datagram, TimePoint now);
+  /// Forwards the held packets that are due.
+  void ReleaseHeld();
   void LogDecision(const FlowPacket& packet, const Decision& decision);
   void ReloadSettings();
   std::string MetricsNow() const;
@@ -150,6 +152,7 @@
   for (const EntryEffect& effect : Reduce(this->instance, event, FleetNow())) {
     std::visit(*this, effect);
   }
+  this->ReleaseHeld();
   this->loop.WakeAt(NextDue(this->instance));
 }
 
@@ -222,11 +225,28 @@
       this->packets.Send(caller, {}, std::span(reset.data(), length));
       return;
     }
+    case Verdict::kHold:
+      HoldOpening(this->instance.forwarder.held, packet, datagram.bytes, now);
+      return;
     case Verdict::kDrop:
       return;
   }
 }
 
+void EntryRuntime::ReleaseHeld() {
+  const TimePoint now = FleetNow();
+  std::vector<HeldOpening> due = ReleaseDue(this->instance.forwarder.held, now);
+  if (due.empty()) {
+    return;
+  }
+  this->resets.clear();
+  this->resets.reserve(due.size());
+  for (HeldOpening& opening : due) {
+    this->HandlePacket({.from = {}, .bytes = opening.bytes}, now);
+  }
+  this->packets.Flush();
+}
+
 void EntryRuntime::LogDecision(const FlowPacket& packet,
                                const Decision& decision) {
   const bool forwarded = decision.verdict == Verdict::kForward;
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -305,3 +305,30 @@
   CHECK(told <= 2 * 3 * (kSeconds + 1));
   CHECK(told > 0);
 }
+
+TEST(Fleet, ServesOnceAMajorityIsBackThoughTheSeedsComeLast) {
+  CHECK(SubmitUntilAccepted(this->world, 9));
+  Run(this->world, Milliseconds(1500));
+  // Entry instances ask the seeds by themselves every 120 ms; they are told
+  // sooner, whenever the third control instance comes back.
+  for (Milliseconds pause{150}; pause < Milliseconds(270);
+       pause += Milliseconds(15)) {
+    FleetWorld fresh = this->world;
+    for (InstanceAddress id = 1; id <= 4; ++id) {
+      fresh.down.insert(id);
+    }
+    for (InstanceAddress id = kFirstEntry; id < kFirstEntry + 4; ++id) {
+      StartEntry(fresh, id);
+    }
+    StartControl(fresh, 4, false);  // No seed: nobody asks it first.
+    Run(fresh, Milliseconds(200));
+    StartControl(fresh, 3, false);
+    Run(fresh, pause);
+    StartControl(fresh, 2, false);
+    Run(fresh, Milliseconds(20));
+    for (const auto& [id, entry] : fresh.entries) {
+      CHECK(IsReady(entry));
+      CHECK_EQUAL(9, VersionAt(fresh, id));
+    }
+  }
+}
--- a/Tests/Platform/PacketAdapterTest.cc
+++ b/Tests/Platform/PacketAdapterTest.cc
@@ -33,6 +33,17 @@
   CHECK_EQUAL(0, packet.token);
 }
 
+TEST(PacketAdapter, CopiesOfAnOpeningPacketTellWhenTheNextOneComes) {
+  const std::array<int, 5> expected = {200, 400, 800, 0, 0};
+  for (std::uint8_t copies = 0; copies < expected.size(); ++copies) {
+    std::vector<std::uint8_t> bytes = MakeOpening();
+    bytes[4] = copies;
+    FlowPacket packet;
+    CHECK(this->codec.parse(bytes, packet));
+    LONGS_EQUAL(expected[copies], packet.repeat_after.count());
+  }
+}
+
 TEST(PacketAdapter, ResetIsThatOfThePages) {
   const std::vector<std::uint8_t> expected = {
       0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
