Outcomes, Placement: Judge servers by what their callers get

Ruled out: each entry instance judging alone (one of 73 sees a server's flow each 5 s); probes (the servers pass them); the callers' coming back as a sign (several users share an address). Change: an entry instance counts a flow as failed when its answer is less than a quarter of the usual length for its address, when it has not ended within the latency objective, or when its caller gives up. The counts go with the poll to the control instance, which shares those of failing servers with the others, compares a server with the better half of its service and marks it in its record.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -31,6 +31,7 @@
   kServerChanged = 3012,
   kReportUnconfirmed = 3013,
   kRegistryNotSaved = 3014,
+  kServerJudged = 3015,
   kOrderMemoryRepaired = 4001,
   kMalformedInput = 5001,
   kFlowPlaced = 6001,
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -86,7 +86,8 @@
   const TimePoint reported =
       turn.now - instance.config.announce_interval *
                      (kIntervalsUntilSilent - kIntervalsUntilSettled);
-  for (const wire::ServerRecord& record : saved.servers()) {
+  for (wire::ServerRecord record : saved.servers()) {
+    record.set_failing(false);  // What is known of its flows was not kept.
     if (CheckRecord(record).empty()) {
       MergeRecord(instance.registry, record, reported);
     }
@@ -134,6 +135,7 @@
   }
   StepSubmissions(turn);
   StepReports(turn);
+  StepOutcomes(turn);
   if (turn.now >= instance.save_at) {
     SaveServers(turn);
   }
@@ -180,6 +182,8 @@
       HandleSubscribe(this->turn, event.from, message.subscribe());
     } else if (message.has_update()) {
       HandleUpdate(this->turn, event.from, message.update());
+    } else if (message.has_outcomes()) {
+      HandleOutcomes(this->turn, message.outcomes());
     }
   }
   void operator()(const ServerReported& event) {
@@ -274,8 +278,9 @@
 
 TimePoint NextDue(const ControlInstance& instance) {
   const Replica& replica = instance.replica;
-  TimePoint due = std::min(
-      {instance.subscribe_at, instance.push_at, instance.housekeeping_at});
+  TimePoint due =
+      std::min({instance.subscribe_at, instance.push_at,
+                instance.housekeeping_at, instance.outcomes.judge_at});
   if (!instance.disk_failed) {
     const bool leads = replica.role == ReplicaRole::kLeader;
     const TimePoint follower_due =
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -12,6 +12,7 @@
 #include "Control/Replica.h"
 #include "Distribution/RouteHistory.h"
 #include "Fleet/Fleet.h"
+#include "Outcomes/Outcomes.h"
 #include "Registry/Registry.h"
 
 /// A control instance of a fleet: agrees with the others on the rules, hears
@@ -64,6 +65,14 @@
   std::uint64_t elections_won = 0;
 };
 
+/// How flows of the backend servers went, and what is to be passed on of it.
+struct ServerOutcomes {
+  OutcomeLedger ledger;
+  std::map<std::string, wire::ServerOutcome> not_passed_on;
+  std::set<std::string> failing;  ///< Servers that are marked so.
+  TimePoint judge_at = TimePoint::max();
+};
+
 /// A rules file that was proposed here.
 struct Proposal {
   CallId call = 0;
@@ -80,6 +89,7 @@
   std::map<std::uint64_t, Proposal> proposals;  ///< By token.
   std::deque<WaitingSubmission> submissions;    ///< Until a leader is known.
   std::deque<WaitingReport> reports;
+  ServerOutcomes outcomes;
   std::uint64_t next_token = 1;
   TimePoint started_at;
   TimePoint subscribe_at;
--- a/Source/Fleet/ControlTurn.h
+++ b/Source/Fleet/ControlTurn.h
@@ -52,6 +52,11 @@
 /// Answers the reports that another control instance has by now.
 void StepReports(ControlTurn& turn);
 
+/// Takes how flows went, from an entry instance or another control instance.
+void HandleOutcomes(ControlTurn& turn, const wire::Outcomes& outcomes);
+/// Passes outcomes on and marks the servers that fail their callers, when due.
+void StepOutcomes(ControlTurn& turn);
+
 void HandleSubmitted(ControlTurn& turn, const RulesSubmitted& event);
 void HandleRead(ControlTurn& turn, const RulesRead& event);
 void HandleVerdict(ControlTurn& turn, const ControlVerdict& verdict);
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -240,6 +240,7 @@
     SendBrief(turn, from);
     return;
   }
+  HandleOutcomes(turn, subscribe.outcomes());
   if (subscribe.has_knowledge()) {
     TakeKnowledge(turn, from, subscribe.knowledge());
   }
@@ -282,6 +283,7 @@
                         known->second.record.silent();
     record.set_silent(silent &&
                       known->second.record.sequence() == record.sequence());
+    KeepJudgement(instance.registry, record);
     if (CheckRecord(record).empty() &&
         MergeRecord(instance.registry, record, turn.now)) {
       changed = true;
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -43,6 +43,17 @@
       SendMessage{.to = to, .message = std::move(message)});
 }
 
+/// Moves what was seen of flows into a message.
+void TellOutcomes(Forwarder& forwarder, wire::Outcomes& outcomes) {
+  for (const auto& [server, delta] : forwarder.outcomes.untold) {
+    wire::ServerOutcome& item = *outcomes.add_servers();
+    item.set_id(forwarder.placement.servers[server].id);
+    item.set_served(delta.served);
+    item.set_failed(delta.failed);
+  }
+  forwarder.outcomes.untold.clear();
+}
+
 void SendSubscribe(Turn& turn, InstanceAddress to) {
   EntryInstance& instance = turn.instance;
   ControlSource& source = instance.sources.at(to);
@@ -53,6 +64,9 @@
   subscribe.set_rules_wanted(true);
   subscribe.set_registry_epoch(source.position.epoch);
   subscribe.set_registry_change(source.position.change);
+  if (to == instance.primary) {
+    TellOutcomes(instance.forwarder, *subscribe.mutable_outcomes());
+  }
   turn.effects.emplace_back(
       SendMessage{.to = to, .message = std::move(message)});
 }
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -79,6 +79,7 @@
       record.set_silent(false);
     }
   }
+  KeepJudgement(instance.registry, record);
   if (MergeRecord(instance.registry, record, turn.now)) {
     LogServer(turn, record, "itself");
     PushSoon(turn);
--- /dev/null
+++ b/Source/Forwarding/FlowOutcomes.cc
@@ -0,0 +1,25 @@
+#include "Forwarding/FlowOutcomes.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr double kLengthWeight = 0.05;
+/// An answer shorter than this part of the usual length is an error.
+constexpr double kShortAnswer = 0.25;
+
+}  // namespace
+
+void NoteAnswer(FlowOutcomes& outcomes, RouteKey address, ServerIndex server,
+                std::uint32_t length) {
+  double& usual = outcomes.usual_length[address];
+  const bool is_short = length < usual * kShortAnswer;
+  usual += usual == 0 ? length : kLengthWeight * (length - usual);
+  OutcomeDelta& delta = outcomes.untold[server];
+  (is_short ? delta.failed : delta.served) += 1;
+}
+
+void NoteFailure(FlowOutcomes& outcomes, ServerIndex server) {
+  outcomes.untold[server].failed += 1;
+}
+
+}  // namespace filbertwall
--- a/Source/Forwarding/FlowPacket.h
+++ b/Source/Forwarding/FlowPacket.h
@@ -28,6 +28,9 @@
   bool aborts = false;       ///< The caller has reset the flow.
   std::uint32_t copies = 0;  ///< Of an opening packet, sent before this one.
   std::uint32_t token = 0;
+  /// Of a later packet: its caller has received the answer up to this sequence
+  /// number, which starts anywhere and wraps.
+  std::uint32_t received = 0;
   /// Of an opening packet: its caller sends the next copy, or gives up, after
   /// this time without an answer.
   Milliseconds repeat_after{0};
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -22,9 +22,14 @@
     return;
   }
   const TimePoint expires_at = now + route.timeout + kExpiryMargin;
-  forwarder.flows[packet.key] =
-      OpenFlow{.server = server, .opened_at = now, .expires_at = expires_at};
-  forwarder.expiries.emplace_back(expires_at, packet.key);
+  const bool has_objective =
+      route.objective.count() > 0 && route.objective < route.timeout;
+  const TimePoint due_at = has_objective ? now + route.objective : expires_at;
+  forwarder.flows[packet.key] = OpenFlow{.server = server,
+                                         .opened_at = now,
+                                         .due_at = due_at,
+                                         .expires_at = expires_at};
+  forwarder.expiries.emplace(due_at, packet.key);
   NoteOpening(forwarder.placement.servers[server], now);
 }
 
@@ -49,7 +54,10 @@
   }
   const ServiceIndex service =
       ServiceOf(route->second, FlowKeyHash()(packet.key));
-  const auto server = ChooseServer(forwarder.placement, service, except, now);
+  const NewFlow flow{.service = service,
+                     .except = except,
+                     .repeatable = route->second.kind != wire::REQUEST_UNSAFE};
+  const auto server = ChooseServer(forwarder.placement, flow, now);
   if (!server) {
     forwarder.counters.no_server += 1;
     return Reset(ForwardReason::kNoServer);
@@ -72,6 +80,7 @@
   OpenFlow& flow = known->second;
   if (!flow.answered && !packet.aborts) {
     flow.answered = true;
+    flow.received_at_first = packet.received;
     forwarder.first_answer.Add(
         std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
     NoteAnswered(forwarder.placement, flow.server, now);
@@ -82,6 +91,12 @@
       duration = std::chrono::duration_cast<Milliseconds>(now - flow.opened_at);
     }
     NoteEnded(forwarder.placement, flow.server, flow.answered, duration, now);
+    if (packet.closes) {
+      NoteAnswer(forwarder.outcomes, KeyOf(packet.key.address), flow.server,
+                 packet.received - flow.received_at_first);
+    } else if (flow.answered && !flow.overdue) {
+      NoteFailure(forwarder.outcomes, flow.server);
+    }
     forwarder.flows.erase(known);
   }
 }
@@ -118,17 +133,26 @@
 
 void ExpireFlows(Forwarder& forwarder, TimePoint now) {
   while (!forwarder.expiries.empty() &&
-         forwarder.expiries.front().first <= now) {
-    const FlowKey key = forwarder.expiries.front().second;
-    forwarder.expiries.pop_front();
-    const auto flow = forwarder.flows.find(key);
-    if (flow == forwarder.flows.end() || flow->second.expires_at > now) {
+         forwarder.expiries.begin()->first <= now) {
+    const FlowKey key = forwarder.expiries.begin()->second;
+    forwarder.expiries.erase(forwarder.expiries.begin());
+    const auto found = forwarder.flows.find(key);
+    if (found == forwarder.flows.end() || found->second.due_at > now) {
+      continue;  // It has ended, or a later flow has its place.
+    }
+    OpenFlow& flow = found->second;
+    if (flow.answered && !flow.overdue) {
+      flow.overdue = true;
+      NoteFailure(forwarder.outcomes, flow.server);
+    }
+    if (flow.expires_at > now) {
+      forwarder.expiries.emplace(flow.expires_at, key);
       continue;
     }
-    NoteEnded(forwarder.placement, flow->second.server, flow->second.answered,
-              std::nullopt, now);
+    NoteEnded(forwarder.placement, flow.server, flow.answered, std::nullopt,
+              now);
     forwarder.counters.expired += 1;
-    forwarder.flows.erase(flow);
+    forwarder.flows.erase(found);
   }
 }
 
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
 #include "Base/Endpoint.h"
 #include "Base/Histogram.h"
 #include "Base/Time.h"
+#include "Forwarding/FlowOutcomes.h"
 #include "Forwarding/FlowPacket.h"
 #include "Forwarding/HeldOpenings.h"
 #include "Forwarding/RouteTable.h"
@@ -51,8 +52,11 @@
 struct OpenFlow {
   ServerIndex server = 0;
   TimePoint opened_at;
+  TimePoint due_at;  ///< An answer within the latency objective is there.
   TimePoint expires_at;
-  bool answered = false;
+  std::uint32_t received_at_first = 0;  ///< Before the answer.
+  bool answered = false;                ///< The server has accepted the flow.
+  bool overdue = false;                 ///< It did not end by `due_at`.
 };
 
 struct ForwarderCounters {
@@ -75,8 +79,9 @@
   HeldOpenings held;  ///< While this instance does not serve yet.
   std::size_t flow_limit = 100000;
   std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
-  /// Flows by the time that they may have ended, in that order.
-  std::deque<std::pair<TimePoint, FlowKey>> expiries;
+  /// Flows by the time at which they are looked at again.
+  std::multimap<TimePoint, FlowKey> expiries;
+  FlowOutcomes outcomes;
   ForwarderCounters counters;
   Histogram first_answer;  ///< From an opening packet to its follow-up.
 };
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -90,6 +90,24 @@
   return index;
 }
 
+/// A failing server for a flow that may be repeated, now and then: each gets
+/// this part of what it would get if it were well.
+std::optional<ServerIndex> ChooseTrial(Placement& placement,
+                                       const NewFlow& flow) {
+  constexpr std::uint64_t kFlowsATrial = 12;
+  const std::vector<ServerIndex>& failing = placement.failing_of[flow.service];
+  const std::size_t usable = placement.usable_of[flow.service].size();
+  if (failing.empty() || !flow.repeatable || flow.except) {
+    return std::nullopt;
+  }
+  const std::uint64_t draw = MixHash(placement.config.seed, placement.draws++) %
+                             (kFlowsATrial * usable);
+  if (draw >= failing.size()) {
+    return std::nullopt;
+  }
+  return failing[draw];
+}
+
 bool SeemsCutOff(const PlacedDataCentre& data_centre) {
   return data_centre.unanswered_in_row >= kUnansweredLimit;
 }
@@ -119,6 +137,7 @@
       name, static_cast<ServiceIndex>(placement.usable_of.size()));
   if (added) {
     placement.usable_of.emplace_back();
+    placement.failing_of.emplace_back();
     placement.duration_of.push_back(0);
   }
   return position->second;
@@ -156,6 +175,7 @@
   server.local = record.data_centre() == placement.config.data_centre;
   server.warm_at = now + Milliseconds(record.warmup_ms());
   server.usable = record.phase() == wire::SERVER_READY && !record.silent();
+  server.failing = record.failing();
 }
 
 void RefreshUsable(Placement& placement) {
@@ -164,8 +184,9 @@
     std::uint64_t& incarnation = latest[server.address];
     incarnation = std::max(incarnation, server.incarnation);
   }
-  for (std::vector<ServerIndex>& list : placement.usable_of) {
-    list.clear();
+  for (std::size_t i = 0; i < placement.usable_of.size(); ++i) {
+    placement.usable_of[i].clear();
+    placement.failing_of[i].clear();
   }
   for (ServerIndex i = 0; i < placement.servers.size(); ++i) {
     const PlacedServer& server = placement.servers[i];
@@ -173,26 +194,31 @@
     if (server.usable && owns_token &&
         latest.at(server.address) == server.incarnation) {
       placement.usable_of[server.service].push_back(i);
+      if (server.failing) {
+        placement.failing_of[server.service].push_back(i);
+      }
     }
   }
 }
 
 std::optional<ServerIndex> ChooseServer(Placement& placement,
-                                        ServiceIndex service,
-                                        std::optional<ServerIndex> except,
-                                        TimePoint now) {
-  if (service >= placement.usable_of.size()) {
+                                        const NewFlow& flow, TimePoint now) {
+  if (flow.service >= placement.usable_of.size()) {
     return std::nullopt;
   }
-  const std::vector<ServerIndex>& list = placement.usable_of[service];
+  const std::vector<ServerIndex>& list = placement.usable_of[flow.service];
   if (list.empty()) {
     return std::nullopt;
   }
+  if (const auto trial = ChooseTrial(placement, flow)) {
+    return trial;
+  }
   std::optional<ServerIndex> best;
   double best_cost = std::numeric_limits<double>::infinity();
   // A server that seems dead is tried only when there is no other.
   constexpr double kAvoidedCost = 1000;
   constexpr double kExceptCost = 500;
+  constexpr double kFailingCost = 100;
   const std::size_t start =
       MixHash(placement.config.seed, placement.draws++) % list.size();
   for (std::size_t i = 0; i < list.size(); ++i) {
@@ -203,7 +229,8 @@
     const double cost = CostOf(placement, server, now) +
                         (Avoided(server, now) ? kAvoidedCost : 0) +
                         (now < data_centre.avoid_until ? kAvoidedCost : 0) +
-                        (except == index ? kExceptCost : 0);
+                        (server.failing ? kFailingCost : 0) +
+                        (flow.except == index ? kExceptCost : 0);
     if (cost < best_cost) {
       best = index;
       best_cost = cost;
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -33,7 +33,9 @@
   std::uint64_t incarnation = 0;
   bool local = false;   ///< In the data centre of this instance.
   bool usable = false;  ///< May take new flows.
-  TimePoint warm_at;    ///< Works slowly until then.
+  bool failing =
+      false;          ///< Fails callers more often than its service's others.
+  TimePoint warm_at;  ///< Works slowly until then.
 
   std::uint32_t in_flight = 0;   ///< Flows of this instance.
   std::uint32_t unanswered = 0;  ///< Opening packets without a follow-up.
@@ -64,7 +66,8 @@
   std::unordered_map<std::string, ServerIndex> by_id;
   std::unordered_map<std::uint32_t, ServerIndex> by_token;
   std::unordered_map<std::string, ServiceIndex> services;
-  std::vector<std::vector<ServerIndex>> usable_of;  ///< By service.
+  std::vector<std::vector<ServerIndex>> usable_of;   ///< By service.
+  std::vector<std::vector<ServerIndex>> failing_of;  ///< Those of `usable_of`.
   std::vector<double> duration_of;  ///< Moving average by service, in ms.
   std::uint64_t draws = 0;          ///< Drives the choice among equals.
 };
@@ -84,12 +87,19 @@
 /// the latest incarnation may. Call after a group of `UpdateServer`.
 void RefreshUsable(Placement& placement);
 
-/// The server for a new flow, preferably another than `except`. Empty when the
-/// service has none that may take it.
+/// What is to be placed.
+struct NewFlow {
+  ServiceIndex service = 0;
+  std::optional<ServerIndex> except;  ///< Did not answer the flow's opening.
+  bool repeatable = false;  ///< Its caller may send its request again.
+};
+
+/// The server for a new flow, preferably another than `except`. A server that
+/// fails its callers gets a few flows whose requests may be repeated, so that
+/// it shows when it is well again. Empty when the service has none that may
+/// take it.
 std::optional<ServerIndex> ChooseServer(Placement& placement,
-                                        ServiceIndex service,
-                                        std::optional<ServerIndex> except,
-                                        TimePoint now);
+                                        const NewFlow& flow, TimePoint now);
 
 /// The server whose flows carry `token`.
 std::optional<ServerIndex> FindByToken(const Placement& placement,
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -21,7 +21,7 @@
   if (next.sequence() != known.sequence()) {
     return next.sequence() > known.sequence();
   }
-  return next.silent() != known.silent();
+  return next.silent() != known.silent() || next.failing() != known.failing();
 }
 
 /// Whether the statements differ in what other instances must know.
@@ -29,8 +29,9 @@
   const bool same =
       left.incarnation() == right.incarnation() &&
       left.phase() == right.phase() && left.silent() == right.silent() &&
-      left.service() == right.service() && left.ip() == right.ip() &&
-      left.port() == right.port() && left.slots() == right.slots();
+      left.failing() == right.failing() && left.service() == right.service() &&
+      left.ip() == right.ip() && left.port() == right.port() &&
+      left.slots() == right.slots();
   return !same;
 }
 
@@ -104,6 +105,23 @@
   }
 }
 
+void SetFailing(Registry& registry, const std::string& id, bool failing) {
+  const auto server = registry.servers.find(id);
+  if (server == registry.servers.end() ||
+      server->second.record.failing() == failing) {
+    return;
+  }
+  server->second.record.set_failing(failing);
+  NoteChange(registry, id, server->second);
+}
+
+void KeepJudgement(const Registry& registry, wire::ServerRecord& record) {
+  const auto known = registry.servers.find(record.id());
+  const bool same = known != registry.servers.end() &&
+                    known->second.record.incarnation() == record.incarnation();
+  record.set_failing(same && known->second.record.failing());
+}
+
 std::size_t MarkSilent(Registry& registry, Milliseconds limit, TimePoint now) {
   std::size_t marked = 0;
   for (auto& [id, server] : registry.servers) {
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -52,6 +52,13 @@
 /// Notes that a server reported to another control instance.
 void NoteHeard(Registry& registry, const std::string& id, TimePoint now);
 
+/// Notes whether a server fails its callers. Unknown ids are left out.
+void SetFailing(Registry& registry, const std::string& id, bool failing);
+
+/// Gives a record of another writer the judgement of this instance: servers and
+/// other control instances do not decide here whether a server fails.
+void KeepJudgement(const Registry& registry, wire::ServerRecord& record);
+
 /// Marks servers that nobody has heard for `limit`. Gives how many.
 std::size_t MarkSilent(Registry& registry, Milliseconds limit, TimePoint now);
 
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -332,3 +332,39 @@
     }
   }
 }
+
+TEST(Fleet, AServerThatFailsItsCallersIsMarkedEverywhereAndClearedAgain) {
+  Report(this->world, 1, "a3", 1);
+  Report(this->world, 2, "a4", 1);
+  Run(this->world, Milliseconds(500));
+  const auto mark = [this](InstanceAddress entry) {
+    const Placement& placement =
+        this->world.entries.at(entry).forwarder.placement;
+    return placement.servers[placement.by_id.at("a1")].failing;
+  };
+  const auto play = [this](int steps, std::uint32_t failed) {
+    for (int i = 0; i < steps; ++i) {
+      // One entry instance sees one flow of each server each 200 ms.
+      Forwarder& forwarder = this->world.entries.at(kFirstEntry).forwarder;
+      for (const auto& [id, index] : forwarder.placement.by_id) {
+        OutcomeDelta& delta = forwarder.outcomes.untold[index];
+        (id == "a1" && failed > 0 ? delta.failed : delta.served) += 1;
+      }
+      Run(this->world, Milliseconds(200));
+    }
+  };
+  play(10, 0);
+  CHECK_FALSE(mark(kFirstEntry));
+  play(10, 1);
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK(mark(id));
+  }
+  // What the server says of itself changes nothing.
+  Report(this->world, 3, "a1", 5);
+  Run(this->world, Milliseconds(300));
+  CHECK(mark(kFirstEntry + 2));
+  play(60, 0);
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK_FALSE(mark(id));
+  }
+}
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -335,3 +335,69 @@
   CHECK(elsewhere > 120);
   CHECK(elsewhere < 300);
 }
+
+TEST_GROUP_BASE(FlowOutcomes, TEST_GROUP_CppUTestGroupForwarder){
+    /// Plays a flow whose answer has `length` bytes; gives its server.
+    ServerIndex Play(std::uint16_t port, std::uint32_t length,
+                     TimePoint now = kStart){
+        const Decision decision = this->Decide(Opening(port), now);
+const std::uint32_t token = this->At(decision.server).token;
+FlowPacket first = Later(port, token);
+first.received = 0xFFFFFF00;  // Sequence numbers wrap.
+this->Decide(first, now + Milliseconds(2));
+FlowPacket last = Later(port, token);
+last.received = first.received + length;
+last.closes = true;
+this->Decide(last, now + Milliseconds(40));
+return decision.server;
+}
+
+OutcomeDelta Untold(ServerIndex server) {
+  return this->forwarder.outcomes.untold[server];
+}
+}
+;
+
+TEST(FlowOutcomes, AnAnswerFarShorterThanUsualIsAFailure) {
+  for (std::uint16_t port = 1; port <= 40; ++port) {
+    this->Play(port, 400 + 40U * port);
+  }
+  this->forwarder.outcomes.untold.clear();
+  const ServerIndex well = this->Play(100, 700);
+  CHECK_EQUAL(1, this->Untold(well).served);
+  this->forwarder.outcomes.untold.clear();
+  const ServerIndex failing = this->Play(101, 179);
+  CHECK_EQUAL(1, this->Untold(failing).failed);
+  CHECK_EQUAL(0, this->Untold(failing).served);
+}
+
+TEST(FlowOutcomes, AFlowThatDoesNotEndInTimeIsAFailureOnce) {
+  wire::RoutesUpdate update = MakeRoutes(0, 8, "proof");
+  update.mutable_set(0)->set_objective_ms(250);
+  CHECK(ApplyRoutes(this->forwarder.routes, update, this->forwarder.placement));
+  const Decision decision = this->Decide(Opening(1));
+  this->Decide(Later(1, this->At(decision.server).token));
+  ExpireFlows(this->forwarder, kStart + Milliseconds(249));
+  CHECK_EQUAL(0, this->Untold(decision.server).failed);
+  ExpireFlows(this->forwarder, kStart + Milliseconds(250));
+  CHECK_EQUAL(1, this->Untold(decision.server).failed);
+  ExpireFlows(this->forwarder, kStart + Milliseconds(5000));
+  CHECK_EQUAL(1, this->Untold(decision.server).failed);
+  CHECK(this->forwarder.flows.empty());
+}
+
+TEST(FlowOutcomes, ACallerThatGivesUpIsAFailure) {
+  const Decision decision = this->Decide(Opening(1));
+  const std::uint32_t token = this->At(decision.server).token;
+  this->Decide(Later(1, token));
+  FlowPacket reset = Later(1, token);
+  reset.aborts = true;
+  this->Decide(reset);
+  CHECK_EQUAL(1, this->Untold(decision.server).failed);
+}
+
+TEST(FlowOutcomes, AFlowThatNoServerAcceptedIsNoFailureOfItsRequests) {
+  const Decision decision = this->Decide(Opening(1));
+  ExpireFlows(this->forwarder, kStart + std::chrono::seconds(5));
+  CHECK_EQUAL(0, this->Untold(decision.server).failed);
+}
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -44,7 +44,7 @@
   }
 
   std::string Choose(TimePoint now = kStart) {
-    const auto index = ChooseServer(this->placement, 0, std::nullopt, now);
+    const auto index = ChooseServer(this->placement, NewFlow{}, now);
     return index ? this->placement.servers[*index].id : "";
   }
 };
@@ -170,8 +170,7 @@
   int lost = 0;
   for (int i = 0; i < 500; ++i) {
     const TimePoint now = kStart + Milliseconds(10 * i);
-    const ServerIndex index =
-        *ChooseServer(this->placement, 0, std::nullopt, now);
+    const ServerIndex index = *ChooseServer(this->placement, NewFlow{}, now);
     NoteOpening(this->placement.servers[index], now);
     if (this->placement.servers[index].local) {
       NoteAnswered(this->placement, index, now);
@@ -202,3 +201,33 @@
   STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(30)).c_str());
   STRCMP_EQUAL("b2", this->Choose(kStart + Milliseconds(60)).c_str());
 }
+
+TEST(Placement, AFailingServerGetsFewFlowsAndOnlyThoseThatMayBeRepeated) {
+  for (int i = 0; i < 4; ++i) {
+    wire::ServerRecord record = MakeRecord(
+        "a" + std::to_string(i), static_cast<std::uint32_t>(1 + i), "here");
+    record.set_failing(i == 0);
+    this->Add(record);
+  }
+  int repeatable = 0;
+  int others = 0;
+  constexpr int kFlows = 2400;
+  for (int i = 0; i < kFlows; ++i) {
+    const ServerIndex failing = this->Index("a0");
+    const auto first =
+        ChooseServer(this->placement, NewFlow{.repeatable = true}, kStart);
+    const auto second = ChooseServer(this->placement, NewFlow{}, kStart);
+    repeatable += first == failing ? 1 : 0;
+    others += second == failing ? 1 : 0;
+  }
+  LONGS_EQUAL(0, others);
+  CHECK(repeatable > 20);
+  CHECK(repeatable < kFlows / 4 / 6);
+}
+
+TEST(Placement, AFailingServerIsUsedWhenThereIsNoOther) {
+  wire::ServerRecord record = MakeRecord("a1", 1, "here");
+  record.set_failing(true);
+  this->Add(record);
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+}
