Outcomes: Ask for more evidence before a server is marked

Change: a flow is late after twice its objective; a mark needs a fifth of failures, 2.5 of them, and three standard deviations above the service's other servers.

--- a/Source/Forwarding/FlowOutcomes.h
+++ b/Source/Forwarding/FlowOutcomes.h
@@ -11,7 +11,7 @@
 ///
 /// A flow has failed when its answer is far shorter than usual for its address
 /// (an error is shorter than what was asked for), when its caller gives up, or
-/// when it has not ended within the latency objective. Plain state; not thread
+/// when it lasts far longer than the latency objective. Plain state; not thread
 /// safe.
 namespace filbertwall {
 
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -1,5 +1,7 @@
 #include "Forwarding/Forwarder.h"
 
+#include <algorithm>
+
 #include "Base/Hash.h"
 
 namespace filbertwall {
@@ -8,6 +10,16 @@
 /// Flows are kept this long beyond the time limit of their requests.
 constexpr Milliseconds kExpiryMargin{500};
 
+/// Flows end later than their objective when servers are busy; much later ones
+/// show a server that does not answer.
+constexpr int kObjectivesUntilLate = 2;
+
+/// When a flow that has not ended counts as failed.
+Milliseconds LateAfter(const RouteEntry& route) {
+  const bool has_objective = route.objective.count() > 0;
+  return has_objective ? route.objective * kObjectivesUntilLate : route.timeout;
+}
+
 Decision Drop(ForwardReason reason) {
   return Decision{.verdict = Verdict::kDrop, .reason = reason};
 }
@@ -22,9 +34,7 @@
     return;
   }
   const TimePoint expires_at = now + route.timeout + kExpiryMargin;
-  const bool has_objective =
-      route.objective.count() > 0 && route.objective < route.timeout;
-  const TimePoint due_at = has_objective ? now + route.objective : expires_at;
+  const TimePoint due_at = std::min(now + LateAfter(route), expires_at);
   forwarder.flows[packet.key] = OpenFlow{.server = server,
                                          .opened_at = now,
                                          .due_at = due_at,
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -52,7 +52,7 @@
 struct OpenFlow {
   ServerIndex server = 0;
   TimePoint opened_at;
-  TimePoint due_at;  ///< An answer within the latency objective is there.
+  TimePoint due_at;  ///< Not ended by then, it counts as failed.
   TimePoint expires_at;
   std::uint32_t received_at_first = 0;  ///< Before the answer.
   bool answered = false;                ///< The server has accepted the flow.
--- a/Source/Outcomes/Outcomes.cc
+++ b/Source/Outcomes/Outcomes.cc
@@ -8,9 +8,11 @@
 
 constexpr Milliseconds kHalfLife{2000};
 /// So few failures may be chance.
-constexpr double kLeastFailures = 1.8;
+constexpr double kLeastFailures = 2.5;
 /// A smaller share of failures is left to the callers' retries.
-constexpr double kLeastShare = 0.12;
+constexpr double kLeastShare = 0.2;
+/// A larger one is suspicious however often the others fail.
+constexpr double kLargestLimit = 0.6;
 /// How many times the share of the service's other servers is suspicious.
 constexpr double kTimesTheOthers = 3.0;
 /// A suspect is cleared below this part of the limit.
@@ -34,10 +36,40 @@
                        .at = now};
 }
 
+/// Whether so many failures are hardly chance, when each flow fails with
+/// probability `share`.
+bool IsSignificant(const OutcomeCounts& counts, double share) {
+  constexpr double kStandardDeviations = 3.0;
+  const double expected = share * (counts.served + counts.failed);
+  return counts.failed >= expected + kStandardDeviations * std::sqrt(expected);
+}
+
 double ShareOf(double served, double failed) {
   return served + failed > 0 ? failed / (served + failed) : 0;
 }
 
+/// The share of failures of the service's other servers.
+double ShareOfOthers(const OutcomeCounts& service,
+                     const OutcomeCounts& counts) {
+  return ShareOf(service.served - counts.served,
+                 service.failed - counts.failed);
+}
+
+/// A suspect gets few flows, so less evidence keeps it one.
+bool IsFailing(const Candidate& candidate, const OutcomeCounts& service,
+               bool was_suspect) {
+  const OutcomeCounts& counts = candidate.counts;
+  const double usual = ShareOfOthers(service, counts);
+  const double limit =
+      std::clamp(kTimesTheOthers * usual, kLeastShare, kLargestLimit);
+  if (was_suspect) {
+    return candidate.share >= limit * kClearance &&
+           counts.failed >= kLeastFailures * kClearance * kClearance;
+  }
+  return candidate.share >= limit && counts.failed >= kLeastFailures &&
+         IsSignificant(counts, usual);
+}
+
 }  // namespace
 
 void AddOutcomes(OutcomeLedger& ledger, const std::string& server,
@@ -65,28 +97,22 @@
     candidate.share = ShareOf(candidate.counts.served, candidate.counts.failed);
     candidates.push_back(candidate);
   }
-  // The usual share is that of the better half, so that several servers that
-  // fail at once do not hide each other.
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& left, const Candidate& right) {
               return left.share < right.share;
             });
-  double served = 0;
-  double failed = 0;
-  for (std::size_t i = 0; i < (candidates.size() + 1) / 2; ++i) {
-    served += candidates[i].counts.served;
-    failed += candidates[i].counts.failed;
+  // Servers that are marked get few flows, so that those which fail less often
+  // stand out next.
+  OutcomeCounts all;
+  for (const Candidate& candidate : candidates) {
+    all.served += candidate.counts.served;
+    all.failed += candidate.counts.failed;
   }
-  const double limit =
-      std::max(kLeastShare, kTimesTheOthers * ShareOf(served, failed));
   std::set<std::string> failing;
   const std::size_t most = candidates.size() / kMostSuspectsOfService;
   for (auto worst = candidates.rbegin();
        worst != candidates.rend() && failing.size() < most; ++worst) {
-    const bool was_suspect = suspects.contains(worst->id);
-    const double factor = was_suspect ? kClearance : 1.0;
-    if (worst->share >= limit * factor &&
-        worst->counts.failed >= kLeastFailures * factor * factor) {
+    if (IsFailing(*worst, all, suspects.contains(worst->id))) {
       failing.insert(worst->id);
     }
   }
--- a/Source/Outcomes/Outcomes.h
+++ b/Source/Outcomes/Outcomes.h
@@ -36,7 +36,7 @@
 OutcomeCounts CountsOf(const OutcomeLedger& ledger, const std::string& server,
                        TimePoint now);
 
-/// The servers of one service that fail clearly more often than the others.
+/// The servers of one service that fail clearly more often than its others.
 /// `suspects` are those that were named the last time: a server stays one until
 /// its share of failures has fallen by half. At most a third are named.
 std::set<std::string> FindFailing(const OutcomeLedger& ledger,
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -377,9 +377,9 @@
   CHECK(ApplyRoutes(this->forwarder.routes, update, this->forwarder.placement));
   const Decision decision = this->Decide(Opening(1));
   this->Decide(Later(1, this->At(decision.server).token));
-  ExpireFlows(this->forwarder, kStart + Milliseconds(249));
+  ExpireFlows(this->forwarder, kStart + Milliseconds(499));
   CHECK_EQUAL(0, this->Untold(decision.server).failed);
-  ExpireFlows(this->forwarder, kStart + Milliseconds(250));
+  ExpireFlows(this->forwarder, kStart + Milliseconds(500));
   CHECK_EQUAL(1, this->Untold(decision.server).failed);
   ExpireFlows(this->forwarder, kStart + Milliseconds(5000));
   CHECK_EQUAL(1, this->Untold(decision.server).failed);
--- a/Tests/Outcomes/OutcomesTest.cc
+++ b/Tests/Outcomes/OutcomesTest.cc
@@ -51,13 +51,13 @@
 
 /// The load: 14 servers with 15 flows a second each, two of which fail 45 % of
 /// their requests for some seconds while they call themselves healthy.
-TEST(Outcomes, ServersThatFailPartOfTheirRequestsAreNamedWithinASecond) {
+TEST(Outcomes, ServersThatFailPartOfTheirRequestsAreNamedSoon) {
   const auto fails = [](const std::string& id) {
     return id == "s3" || id == "s8" ? 0.45 : 0.002;
   };
   this->Play(Milliseconds(3000), 15, [](const std::string&) { return 0.002; });
   CHECK(this->suspects.empty());
-  this->Play(Milliseconds(1000), 15, fails);
+  this->Play(Milliseconds(2000), 15, fails);
   CHECK((this->suspects == std::set<std::string>{"s3", "s8"}));
   this->Play(Milliseconds(5000), 15, fails);
   CHECK((this->suspects == std::set<std::string>{"s3", "s8"}));
@@ -82,6 +82,19 @@
   CHECK(this->suspects.size() <= 1);
 }
 
+/// The load: a busy service, some of whose flows last too long anywhere. Each
+/// control instance sees a few flows of each server, so some servers look bad
+/// by chance; leaving them out would make the others busier still.
+TEST(Outcomes, ABusyServiceLosesFewServersByChance) {
+  std::size_t marked = 0;
+  int rounds = 0;
+  for (; rounds < 60; ++rounds) {
+    this->Play(Milliseconds(500), 2, [](const std::string&) { return 0.04; });
+    marked += this->suspects.size();
+  }
+  CHECK(marked * 100 < rounds * this->service.size() * 2);  // 2 %
+}
+
 TEST(Outcomes, NoMoreThanAThirdIsNamed) {
   this->Play(Milliseconds(5000), 15, [](const std::string& id) {
     return id > "s3" ? 0.9 : 0.0;  // s4 to s9
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -82,7 +82,8 @@
   record.set_warmup_ms(2000);
   MergeRecord(this->registry, record, kStart);
   const auto soon =
-      RecordsAfter(this->registry, 0, kMost, kStart + Milliseconds(500)).records;
+      RecordsAfter(this->registry, 0, kMost, kStart + Milliseconds(500))
+          .records;
   LONGS_EQUAL(1500, soon[0].warmup_ms());
   const auto late =
       RecordsAfter(this->registry, 0, kMost, kStart + Milliseconds(2500))
