Entry: Only words heard within a second make a majority; no trial flows to dead servers

Cause: found on reading. An entry instance that starts counted each control instance's last word, however old: words 4 s apart could confirm a version that was overtaken in between. Passing on others' words made that likelier. Change: a voter's word counts for 1 s (passed on: 1.2 s before that), less than the 3 s in which a version must be in force. A marked server that does not answer gets no trial flows. Figures: Fleet.WordsOfVotersHeardLongAgo... red before (ready after 4 s), green now.

--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -16,7 +16,7 @@
 /// time.
 constexpr Milliseconds kNextBatchTime{150};
 /// Words of other control instances are passed on for this long.
-constexpr Milliseconds kKnowledgeLifetime{1500};
+constexpr Milliseconds kKnowledgeLifetime{1200};
 /// Entry instances of before a restart ask by themselves after this time.
 constexpr Milliseconds kFormerFollowerTime{3000};
 /// Which servers reported here is told to each control instance this often.
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -13,6 +13,9 @@
 /// The first of the intervals at which all are asked; each is twice the last.
 constexpr Milliseconds kShortestUrgentInterval{40};
 constexpr Milliseconds kLongestUrgentInterval{120};
+/// Words that are further apart make no majority: a version may have been
+/// accepted between them.
+constexpr Milliseconds kWordLifetime{1000};
 constexpr Milliseconds kHousekeepingInterval{1000};
 /// Running this much later than due, the instance stood still.
 constexpr Milliseconds kStallLimit{300};
@@ -168,7 +171,7 @@
 /// Whether a majority of the control instances has stored nothing newer than
 /// what is in force here. An accepted version is stored by a majority, so one
 /// of these would know it. The set of voters is that of whoever knows most.
-bool IsConfirmedByMajority(const EntryInstance& instance) {
+bool IsConfirmedByMajority(const EntryInstance& instance, TimePoint now) {
   const wire::Knowledge* latest = nullptr;
   for (const auto& [address, source] : instance.sources) {
     const wire::Knowledge& knowledge = source.knowledge;
@@ -183,8 +186,9 @@
   int agreeing = 0;
   for (const InstanceAddress voter : latest->control_instances()) {
     const auto source = instance.sources.find(voter);
-    const bool heard =
-        source != instance.sources.end() && source->second.knowledge.voter();
+    const bool heard = source != instance.sources.end() &&
+                       source->second.knowledge.voter() &&
+                       now - source->second.knowledge_at <= kWordLifetime;
     if (!heard) {
       continue;
     }
@@ -205,7 +209,8 @@
   const bool by_leader =
       update.fresh() && update.rules_version() > 0 &&
       instance.forwarder.routes.version >= update.rules_version();
-  instance.rules_confirmed = by_leader || IsConfirmedByMajority(instance);
+  instance.rules_confirmed =
+      by_leader || IsConfirmedByMajority(instance, turn.now);
 }
 
 /// Prefers a fresh source in the own data centre, then the one it has.
@@ -226,11 +231,13 @@
 
 /// Takes what a control instance knows by the word of another; what it said
 /// itself goes before an older word of it.
-void TakeKnowledge(ControlSource& source, const wire::Knowledge& knowledge) {
+void TakeKnowledge(ControlSource& source, const wire::Knowledge& knowledge,
+                   TimePoint now) {
   const std::uint64_t newest =
       std::max(source.knowledge.newest_version(), knowledge.newest_version());
   if (knowledge.seq() >= source.knowledge.seq()) {
     source.knowledge = knowledge;
+    source.knowledge_at = now;
   }
   source.knowledge.set_newest_version(newest);
 }
@@ -242,12 +249,13 @@
     instance.sources.try_emplace(address);
   }
   for (const wire::Knowledge& other : update.others()) {
-    TakeKnowledge(instance.sources[other.instance()], other);
+    TakeKnowledge(instance.sources[other.instance()], other, turn.now);
   }
   ControlSource& source = instance.sources[from];
   source.heard_at = turn.now;
   source.data_centre = update.data_centre();
   source.knowledge = KnowledgeIn(update);
+  source.knowledge_at = turn.now;
   TakeServers(turn, update);
   const bool has_contents = update.registry_epoch() != 0;
   if (has_contents) {
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -26,6 +26,7 @@
   TimePoint fresh_at;         ///< Last time that it knew the newest rules.
   TimePoint asked_at;         ///< Last time that its contents were asked for.
   wire::Knowledge knowledge;  ///< By its own or another's word.
+  TimePoint knowledge_at;     ///< When that word came.
 };
 
 struct EntryInstance {
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -93,7 +93,7 @@
 /// A failing server for a flow that may be repeated, now and then: each gets
 /// this part of what it would get if it were well.
 std::optional<ServerIndex> ChooseTrial(Placement& placement,
-                                       const NewFlow& flow) {
+                                       const NewFlow& flow, TimePoint now) {
   constexpr std::uint64_t kFlowsATrial = 12;
   const std::vector<ServerIndex>& failing = placement.failing_of[flow.service];
   const std::size_t usable = placement.usable_of[flow.service].size();
@@ -102,7 +102,8 @@
   }
   const std::uint64_t draw = MixHash(placement.config.seed, placement.draws++) %
                              (kFlowsATrial * usable);
-  if (draw >= failing.size()) {
+  if (draw >= failing.size() ||
+      Avoided(placement.servers[failing[draw]], now)) {
     return std::nullopt;
   }
   return failing[draw];
@@ -210,7 +211,7 @@
   if (list.empty()) {
     return std::nullopt;
   }
-  if (const auto trial = ChooseTrial(placement, flow)) {
+  if (const auto trial = ChooseTrial(placement, flow, now)) {
     return trial;
   }
   std::optional<ServerIndex> best;
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -368,3 +368,33 @@
     CHECK_FALSE(mark(id));
   }
 }
+
+TEST(Fleet, WordsOfVotersHeardLongAgoMakeNoMajority) {
+  // A version that was accepted between the two words would be missed.
+  const auto word = [](InstanceAddress from, std::uint64_t version) {
+    PeerMessage event{.from = from};
+    wire::Update& update = *event.message.mutable_update();
+    update.set_voter(true);
+    update.set_seq(7);
+    update.set_rules_version(version);
+    for (InstanceAddress voter = 1; voter <= 3; ++voter) {
+      update.add_control_instances(voter);
+    }
+    return event;
+  };
+  EntryInstance entry = MakeEntryInstance(ConfigOf(this->world, 110));
+  TimePoint now = this->world.now;
+  Reduce(entry, EntryStarted{}, now);
+  PeerMessage first = word(1, 5);
+  wire::Update& contents = *first.message.mutable_update();
+  contents.set_settled(true);
+  contents.set_registry_epoch(9);
+  contents.mutable_routes()->set_version(5);
+  Reduce(entry, first, now);
+  CHECK_FALSE(IsReady(entry));
+  now += std::chrono::seconds(4);
+  Reduce(entry, word(2, 5), now);
+  CHECK_FALSE(IsReady(entry));
+  Reduce(entry, word(1, 5), now + Milliseconds(100));
+  CHECK(IsReady(entry));
+}
