Control: Let an odd number vote, and let others stand by

Cause: a planned replacement adds its successor while the old instance still lives, which raised voter_target to 4; it only ever rose. The old one then stayed a voter for 20 s, and with it gone one lost disk left two of four.

Ruled out: a shorter silence limit alone (the target stays at 4, so each later loss costs the same); a smaller quorum for promises with even numbers (Flexible Paxos: two of four may elect, but no change is stored without three).

Change: PlanVoterChange decides from who lives. The largest odd number votes, the rest are standbys: they hold the state, hear heartbeats, serve their data centre and vote in nothing. A voter silent for 3 s gives its place to a standby in one committed change (safe, since each entry is decided by the set that the entries before it name). A set larger than needed shrinks to an odd number after 5 s, never below twice the tolerated losses and one. voter_target is gone. A removed voter forgets its promises with its incarnation. A start knows standbys from the saved registry; entry instances ask new control instances, and every 2 s those of their own data centre, whether they can be followed.

Tests: VoterLoss plays every series of a planned and an unplanned replacement, a lost disk and a cut, at every instance: red before ('3 instances, planned replacement at 1, lost disk at 2: no change is accepted'), green now.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -14,6 +14,7 @@
   kSettingsReloaded = 1006,
   kLeaderElected = 2001,
   kLeadershipLost = 2002,
+  kVotersChanged = 2003,
   kLogTailCut = 2004,
   kLogCorrupt = 2005,
   kSyncFailed = 2006,
--- a/Source/Control/ControlState.cc
+++ b/Source/Control/ControlState.cc
@@ -19,18 +19,22 @@
   }
 }
 
-void ApplyMember(wire::ControlState& state, const wire::MemberChange& change) {
-  if (change.voter_target() != 0) {
-    state.set_voter_target(change.voter_target());
-  }
+void RemoveMember(wire::ControlState& state, std::uint32_t instance) {
   auto& members = *state.mutable_members();
   for (int i = 0; i < members.size(); ++i) {
-    if (members.Get(i).instance() == change.instance()) {
+    if (members.Get(i).instance() == instance) {
       *state.add_removed() = members.Get(i);
       members.DeleteSubrange(i, 1);
-      break;
+      return;
     }
   }
+}
+
+void ApplyMember(wire::ControlState& state, const wire::MemberChange& change) {
+  RemoveMember(state, change.instance());
+  if (change.replaced() != 0) {
+    RemoveMember(state, change.replaced());
+  }
   if (change.incarnation() == 0) {
     return;
   }
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -30,21 +30,6 @@
   }
 }
 
-void SendJoin(ReplicaTurn& turn) {
-  Replica& replica = turn.replica;
-  if (turn.now < replica.join_at) {
-    return;
-  }
-  replica.join_at = turn.now + replica.config.join_interval;
-  wire::ControlMessage message;
-  message.mutable_join()->set_committed_seq(replica.committed.seq());
-  for (const std::uint32_t instance : replica.config.control_instances) {
-    if (instance != replica.config.self) {
-      Send(turn, instance, message);
-    }
-  }
-}
-
 void HandleStarted(ReplicaTurn& turn) {
   Replica& replica = turn.replica;
   replica.leaderless_since = turn.now;
@@ -57,50 +42,24 @@
   }
 }
 
-/// Proposes the removal of one voter that has been silent for long.
-void RemoveSilentVoter(ReplicaTurn& turn) {
-  Replica& replica = turn.replica;
-  const wire::ControlState& state = replica.committed;
-  const auto size = static_cast<std::uint32_t>(state.members_size());
-  if (!replica.config.open_membership || replica.proposing ||
-      size <= replica.config.least_voters || !HasLease(replica, turn.now)) {
-    return;
-  }
-  const bool surplus = state.voter_target() != 0 && size > state.voter_target();
-  const Milliseconds limit =
-      surplus ? replica.config.surplus_silence : replica.config.voter_silence;
-  for (const wire::Member& member : state.members()) {
-    const auto heard = replica.heard.find(member.instance());
-    const bool silent = member.instance() != replica.config.self &&
-                        heard != replica.heard.end() &&
-                        turn.now - heard->second > limit;
-    if (silent) {
-      PendingChange pending;
-      pending.change.mutable_member()->set_instance(member.instance());
-      Propose(turn, pending);
-      return;
-    }
-  }
-}
-
 void HandleTick(ReplicaTurn& turn) {
   Replica& replica = turn.replica;
   if (!IsVoter(replica)) {
-    SendJoin(turn);
+    AskToJoin(turn);
     return;
   }
   if (replica.role == ReplicaRole::kLeader) {
     if (turn.now >= replica.heartbeat_at) {
       SendHeartbeats(turn);
     }
-    RemoveSilentVoter(turn);
+    StepMembership(turn);
     return;
   }
   const bool lost = replica.config.open_membership &&
                     turn.now > replica.leaderless_since + kLeaderlessLimit;
   if (lost) {
     // It may have been removed, or know only voters that were replaced.
-    SendJoin(turn);
+    AskToJoin(turn);
   }
   if (turn.now >= replica.election_at) {
     StartElection(turn);
@@ -161,6 +120,8 @@
     case wire::ControlMessage::kHeartbeatAck:
       if (from_voter) {
         HandleHeartbeatAck(turn, event.from, message.heartbeat_ack());
+      } else {
+        HandleStandbyAck(turn, event.from, message.heartbeat_ack());
       }
       return;
     case wire::ControlMessage::kInstall:
@@ -256,8 +217,7 @@
   if (replica.role == ReplicaRole::kLeader) {
     return HasLease(replica, now);
   }
-  return IsVoter(replica) && replica.leader != 0 &&
-         now - replica.leader_heard_at <= limit &&
+  return replica.leader != 0 && now - replica.leader_heard_at <= limit &&
          replica.committed.seq() >= replica.leader_committed;
 }
 
@@ -271,8 +231,6 @@
   wire::DurableRecord record;
   record.set_incarnation(MixHash(cluster, instance) | 1U);
   record.mutable_state()->set_cluster(cluster);
-  record.mutable_state()->set_voter_target(
-      static_cast<std::uint32_t>(founders.size()));
   for (const std::uint32_t founder : founders) {
     wire::Member& member = *record.mutable_state()->add_members();
     member.set_instance(founder);
@@ -329,6 +287,7 @@
   replica.promises.clear();
   replica.acked.clear();
   replica.heard.clear();
+  replica.standbys.clear();
   replica.election_at =
       turn.now + replica.config.lease + ElectionJitter(replica);
 }
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -23,12 +23,10 @@
 struct ReplicaConfig {
   std::uint32_t self = 0;
   std::set<std::uint32_t> control_instances;  ///< May become voters.
-  /// Any instance that asks may become a voter, and silent ones are removed.
+  /// Any instance that asks may become a voter, and silent ones give their
+  /// place to another; see `VoterChange.h`.
   bool open_membership = false;
-  /// Never removes a voter when that would leave fewer.
-  std::uint32_t least_voters = 3;
-  Milliseconds surplus_silence{5000};  ///< Before a surplus voter is removed.
-  Milliseconds voter_silence{20000};   ///< Before any other voter is.
+  std::uint32_t least_voters = 3;  ///< Never fewer, once there were as many.
   Milliseconds heartbeat_interval{100};
   Milliseconds lease{1000};
   Milliseconds join_interval{300};
@@ -48,6 +46,13 @@
   wire::Change change;
 };
 
+/// An instance that holds the state and does not vote, as its leader sees it.
+struct Standby {
+  std::uint64_t incarnation = 0;
+  std::uint64_t committed_seq = 0;
+  TimePoint heard_at;
+};
+
 struct Replica {
   ReplicaConfig config;
 
@@ -69,10 +74,11 @@
   std::map<std::uint32_t, TimePoint> acked;  ///< Send time of the last acked.
   /// When the leader last heard each voter; kept while it leads.
   std::map<std::uint32_t, TimePoint> heard;
+  std::map<std::uint32_t, Standby> standbys;  ///< By instance, at the leader.
   TimePoint elected_at;
   TimePoint lease_granted_until;
   TimePoint leader_heard_at;           ///< Last heartbeat of the leader.
-  std::uint64_t leader_committed = 0;  ///< The seq that it named.
+  std::uint64_t leader_committed = 0;  ///< The highest seq that it named.
   TimePoint leaderless_since;
   TimePoint election_at;
   TimePoint heartbeat_at;
@@ -128,7 +134,7 @@
 bool IsVoter(const Replica& replica);
 
 /// Whether the committed state was confirmed as the newest one within `limit`,
-/// by a majority (leader) or by a leader (voter).
+/// by a majority (leader) or by a leader (voter or standby).
 bool KnowsNewest(const Replica& replica, TimePoint now, Milliseconds limit);
 
 /// The first state of a new cluster whose founders all write the same one. Each
--- a/Source/Control/ReplicaElection.cc
+++ b/Source/Control/ReplicaElection.cc
@@ -31,9 +31,8 @@
   replica.elected_at = turn.now;
   replica.acked.clear();
   for (const wire::Member& member : replica.committed.members()) {
-    // Not heard yet as a leader: neither living nor silent for long.
-    replica.heard.try_emplace(member.instance(),
-                              turn.now - kLivingLimit - Milliseconds(1));
+    // Not heard yet as a leader, so not silent for long either.
+    replica.heard.try_emplace(member.instance(), turn.now);
   }
   const std::optional<wire::Entry> undecided = HighestTip(replica);
   replica.promises.clear();
@@ -103,6 +102,10 @@
                    const wire::Prepare& prepare, bool from_voter) {
   Replica& replica = turn.replica;
   const bool knows_better = prepare.committed_seq() > replica.committed.seq();
+  if (!IsVoter(replica) && knows_better) {
+    // It may have become a voter; the candidate needs its promise.
+    SendJoin(turn, from);
+  }
   if (!IsVoter(replica) || (!from_voter && !knows_better) ||
       !MayPromise(replica, turn.now, from)) {
     return;
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -14,6 +14,7 @@
   }
   const bool member_change = replica.tip->change().has_member();
   const std::uint32_t changed = replica.tip->change().member().instance();
+  const std::uint32_t replaced = replica.tip->change().member().replaced();
   const std::uint64_t token = replica.proposal_token;
   replica.proposing = false;
   replica.proposal_token = 0;
@@ -30,8 +31,13 @@
     return;
   }
   // Every voter must know the new set before its promises are asked for.
+  replica.standbys.erase(changed);
+  replica.heard.erase(changed);
   SendHeartbeats(turn);
   SendInstall(turn, changed);
+  if (replaced != 0) {
+    SendInstall(turn, replaced);
+  }
   if (IsVoter(replica)) {
     StartElection(turn);
   } else {
@@ -226,7 +232,8 @@
     CommitTip(turn);
   }
   replica.leader_heard_at = turn.now;
-  replica.leader_committed = heartbeat.committed_seq();
+  replica.leader_committed =
+      std::max(replica.leader_committed, heartbeat.committed_seq());
   *ack.mutable_ballot() = heartbeat.ballot();
   ack.set_committed_seq(replica.committed.seq());
   ack.set_echoed_us(heartbeat.sent_us());
@@ -271,57 +278,4 @@
   }
 }
 
-/// The number of voters once `instance` is admitted beside those that live. A
-/// successor of a silent voter does not raise it.
-std::uint32_t TargetWith(const ReplicaTurn& turn, std::uint32_t instance) {
-  const Replica& replica = turn.replica;
-  std::uint32_t living = 1;
-  for (const wire::Member& member : replica.committed.members()) {
-    const auto heard = replica.heard.find(member.instance());
-    const bool lives = member.instance() != replica.config.self &&
-                       member.instance() != instance &&
-                       heard != replica.heard.end() &&
-                       turn.now - heard->second <= kLivingLimit;
-    living += lives ? 1 : 0;
-  }
-  return std::max(replica.committed.voter_target(), living + 1);
-}
-
-void HandleJoin(ReplicaTurn& turn, const JoinRequest& request) {
-  Replica& replica = turn.replica;
-  if (replica.role == ReplicaRole::kFollower || request.incarnation == 0) {
-    return;
-  }
-  if (WasRemoved(replica.committed, request.instance, request.incarnation)) {
-    if (replica.config.open_membership) {
-      SendInstall(turn, request.instance);  // It takes a new incarnation.
-    }
-    return;
-  }
-  const bool allowed =
-      replica.config.open_membership ||
-      replica.config.control_instances.contains(request.instance);
-  if (!allowed) {
-    return;
-  }
-  const bool already =
-      IsVoter(replica.committed, request.instance, request.incarnation);
-  const bool caught_up =
-      request.has_state && request.committed_seq >= replica.committed.seq();
-  if (already || !caught_up) {
-    // Also as a candidate: a voter that does not know that it is one can't
-    // promise anything.
-    SendInstall(turn, request.instance);
-    return;
-  }
-  if (!replica.proposing && HasLease(replica, turn.now)) {
-    PendingChange pending;
-    wire::MemberChange& change = *pending.change.mutable_member();
-    change.set_instance(request.instance);
-    change.set_incarnation(request.incarnation);
-    change.set_voter_target(TargetWith(turn, request.instance));
-    Propose(turn, pending);
-  }
-}
-
 }  // namespace filbertwall
--- a/Source/Control/ReplicaTurn.cc
+++ b/Source/Control/ReplicaTurn.cc
@@ -37,6 +37,11 @@
       std::chrono::duration_cast<Microseconds>(turn.now.time_since_epoch())
           .count());
   SendToVoters(turn, message);
+  for (const auto& [instance, standby] : replica.standbys) {
+    if (!IsVoter(replica.committed, instance, standby.incarnation)) {
+      Send(turn, instance, message);
+    }
+  }
 }
 
 void PersistPromise(ReplicaTurn& turn, const wire::Ballot& ballot) {
@@ -71,6 +76,7 @@
   if (removed) {
     // Like a lost disk: what it promised counts for nothing from now on.
     replica.incarnation = MixHash(replica.incarnation, state.seq()) | 1U;
+    replica.promised.Clear();
   }
   if (replica.tip && replica.tip->seq() <= state.seq()) {
     replica.tip.reset();
--- a/Source/Control/ReplicaTurn.h
+++ b/Source/Control/ReplicaTurn.h
@@ -7,9 +7,6 @@
 /// Internal to Control: the steps that its reducers share.
 namespace filbertwall {
 
-/// A voter that was heard within this time counts as living.
-inline constexpr Milliseconds kLivingLimit{250};
-
 /// One run of the reducer.
 struct ReplicaTurn {
   Replica& replica;
@@ -65,4 +62,12 @@
                    const wire::Install& install);
 void HandleJoin(ReplicaTurn& turn, const JoinRequest& request);
 
+/// Asks one instance, or all that are known, to be admitted.
+void SendJoin(ReplicaTurn& turn, std::uint32_t to);
+void AskToJoin(ReplicaTurn& turn);
+/// The leader's part in keeping the right voters.
+void StepMembership(ReplicaTurn& turn);
+void HandleStandbyAck(ReplicaTurn& turn, std::uint32_t from,
+                      const wire::HeartbeatAck& ack);
+
 }  // namespace filbertwall
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kRestartWait{250};
 constexpr Milliseconds kElectionSpread{250};
 constexpr int kIntervalsUntilSilent = 5;
+/// Also where no lost disk has to be borne.
+constexpr std::uint32_t kFewestVoters = 3;
 
 void TakeCommitted(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
@@ -79,6 +81,27 @@
   }
 }
 
+/// The voters as they stand in the log.
+std::string FormatVoters(const wire::ControlState& state) {
+  std::string text;
+  for (const wire::Member& member : state.members()) {
+    text += (text.empty() ? "" : ",") + FormatIp(member.instance());
+  }
+  return text;
+}
+
+void LogVoters(ControlTurn& turn) {
+  const wire::ControlState& state = turn.instance.replica.committed;
+  std::string voters = FormatVoters(state);
+  if (voters == turn.instance.voters) {
+    return;
+  }
+  Log(turn, EventId::kVotersChanged,
+      "voters=" + voters + " before=" + turn.instance.voters +
+          " seq=" + std::to_string(state.seq()));
+  turn.instance.voters = std::move(voters);
+}
+
 /// Takes what was saved as reported long ago, so that servers that do not
 /// report again soon are taken for silent.
 void RestoreRegistry(ControlTurn& turn, const wire::SavedRegistry& saved) {
@@ -96,6 +119,10 @@
   instance.former_followers.insert(saved.followers().begin(),
                                    saved.followers().end());
   instance.saved_followers = instance.former_followers;
+  for (const InstanceAddress other : saved.control_instances()) {
+    instance.sources[other].heard_at = turn.now;
+    instance.saved_control_instances.insert(other);
+  }
   instance.saved_change = instance.registry.change;
 }
 
@@ -107,7 +134,10 @@
   const bool fewer = std::includes(instance.saved_followers.begin(),
                                    instance.saved_followers.end(),
                                    followers.begin(), followers.end());
-  if (instance.saved_change == instance.registry.change && fewer) {
+  std::set<InstanceAddress> others = OtherControlInstances(instance, turn.now);
+  const bool same = instance.saved_change == instance.registry.change &&
+                    instance.saved_control_instances == others;
+  if (same && fewer) {
     return;
   }
   instance.saved_change = instance.registry.change;
@@ -116,6 +146,10 @@
   for (const InstanceAddress follower : followers) {
     effect.saved.add_followers(follower);
   }
+  for (const InstanceAddress other : others) {
+    effect.saved.add_control_instances(other);
+  }
+  instance.saved_control_instances = std::move(others);
   RecordBatch all = RecordsAfter(instance.registry, 0,
                                  instance.registry.servers.size(), turn.now);
   for (wire::ServerRecord& record : all.records) {
@@ -236,11 +270,15 @@
     return;
   }
   const ReplicaRole before = instance.replica.role;
+  const std::uint64_t seq_before = instance.replica.committed.seq();
   for (const ControlEffect& effect :
        Reduce(instance.replica, event, turn.now)) {
     std::visit(ReplicaVisitor{.turn = turn}, effect);
   }
   LogLeadership(turn, before);
+  if (instance.replica.committed.seq() != seq_before) {
+    LogVoters(turn);
+  }
 }
 
 InstanceAddress KnownLeader(const ControlTurn& turn) {
@@ -260,7 +298,8 @@
   replica.lease = kLease;
   replica.restart_wait = kRestartWait;
   replica.election_spread = kElectionSpread;
-  replica.least_voters = 2 * config.tolerated_losses + 1;
+  replica.least_voters =
+      std::max(kFewestVoters, 2 * config.tolerated_losses + 1);
   for (const wire::DurableRecord& record : log) {
     Restore(instance.replica, record);
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -90,6 +90,7 @@
   std::deque<WaitingSubmission> submissions;    ///< Until a leader is known.
   std::deque<WaitingReport> reports;
   ServerOutcomes outcomes;
+  std::string voters;  ///< As last logged.
   std::uint64_t next_token = 1;
   TimePoint started_at;
   TimePoint subscribe_at;
@@ -98,6 +99,7 @@
   TimePoint save_at;
   std::uint64_t saved_change = 0;  ///< The registry's change last saved.
   std::set<InstanceAddress> saved_followers;
+  std::set<InstanceAddress> saved_control_instances;
   /// Entry instances that were told of changes before this start.
   std::set<InstanceAddress> former_followers;
   bool settled = false;  ///< Knows the backend servers since its start.
--- a/Source/Fleet/ControlTurn.h
+++ b/Source/Fleet/ControlTurn.h
@@ -39,6 +39,10 @@
 /// Entry instances that asked lately.
 std::set<InstanceAddress> LiveFollowers(const ControlInstance& instance,
                                         TimePoint now);
+/// The other control instances that are known here, also those that do not
+/// vote: servers and entry instances come to them as well.
+std::set<InstanceAddress> OtherControlInstances(const ControlInstance& instance,
+                                                TimePoint now);
 /// Asks the other control instances for what they know.
 void SubscribeToOthers(ControlTurn& turn);
 void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -21,6 +21,9 @@
 constexpr Milliseconds kFormerFollowerTime{3000};
 /// Which servers reported here is told to each control instance this often.
 constexpr Milliseconds kHeardInterval{900};
+/// Another control instance is asked for what it knows until it was silent for
+/// this long.
+constexpr Milliseconds kSourceLifetime{5000};
 /// A follower speaks for the leader this long after its last heartbeat.
 constexpr Milliseconds kFreshLimit{400};
 
@@ -56,6 +59,21 @@
   return knowledge;
 }
 
+/// Control instances that asked lately and do not vote.
+std::set<InstanceAddress> LiveStandbys(const ControlInstance& instance,
+                                       TimePoint now) {
+  std::set<InstanceAddress> standbys;
+  for (const auto& [address, subscriber] : instance.subscribers) {
+    if (subscriber.control && IsAlive(subscriber, now)) {
+      standbys.insert(address);
+    }
+  }
+  for (const wire::Member& member : instance.replica.committed.members()) {
+    standbys.erase(member.instance());
+  }
+  return standbys;
+}
+
 /// What this instance knows, without the contents.
 wire::Update MakeSummary(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
@@ -67,6 +85,9 @@
   for (const wire::Member& member : state.members()) {
     update.add_control_instances(member.instance());
   }
+  for (const InstanceAddress standby : LiveStandbys(instance, turn.now)) {
+    update.add_standbys(standby);
+  }
   update.set_data_centre(instance.config.data_centre);
   update.set_rules_version(state.rules().version());
   update.set_seq(state.seq());
@@ -158,16 +179,6 @@
   }
 }
 
-std::set<InstanceAddress> OtherControlInstances(
-    const ControlInstance& instance) {
-  std::set<InstanceAddress> others = instance.config.seeds;
-  for (const wire::Member& member : instance.replica.committed.members()) {
-    others.insert(member.instance());
-  }
-  others.erase(instance.config.self);
-  return others;
-}
-
 }  // namespace
 
 void TellFollowers(ControlTurn& turn) {
@@ -182,6 +193,22 @@
   }
 }
 
+std::set<InstanceAddress> OtherControlInstances(const ControlInstance& instance,
+                                                TimePoint now) {
+  std::set<InstanceAddress> others = instance.config.seeds;
+  others.merge(LiveStandbys(instance, now));
+  for (const auto& [address, source] : instance.sources) {
+    if (now - source.heard_at <= kSourceLifetime) {
+      others.insert(address);
+    }
+  }
+  for (const wire::Member& member : instance.replica.committed.members()) {
+    others.insert(member.instance());
+  }
+  others.erase(instance.config.self);
+  return others;
+}
+
 std::set<InstanceAddress> LiveFollowers(const ControlInstance& instance,
                                         TimePoint now) {
   std::set<InstanceAddress> followers;
@@ -217,7 +244,8 @@
 void SubscribeToOthers(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   instance.subscribe_at = turn.now + kSubscribeInterval;
-  for (const InstanceAddress other : OtherControlInstances(instance)) {
+  for (const InstanceAddress other :
+       OtherControlInstances(instance, turn.now)) {
     instance.replica.config.control_instances.insert(other);
     const RegistrySource& source = instance.sources[other];
     wire::FleetMessage message;
@@ -274,6 +302,11 @@
       instance.replica.config.control_instances.insert(address);
     }
   }
+  for (const InstanceAddress address : update.standbys()) {
+    if (address != instance.config.self) {
+      instance.sources[address].heard_at = turn.now;
+    }
+  }
   bool changed = false;
   for (wire::ServerRecord record : update.servers()) {
     // Each control instance judges silence by itself.
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -13,6 +13,7 @@
 /// The first of the intervals at which all are asked; each is twice the last.
 constexpr Milliseconds kShortestUrgentInterval{40};
 constexpr Milliseconds kLongestUrgentInterval{120};
+constexpr Milliseconds kLocalInterval{2000};
 /// Words that are further apart make no majority: a version may have been
 /// accepted between them.
 constexpr Milliseconds kWordLifetime{1000};
@@ -78,11 +79,33 @@
   return instance.primary == 0 || now - instance.fresh_at > kFreshLimit;
 }
 
+bool IsLocal(const EntryInstance& instance, InstanceAddress control) {
+  const auto source = instance.sources.find(control);
+  return source != instance.sources.end() &&
+         source->second.data_centre == instance.config.data_centre;
+}
+
+/// Following one of another data centre, asks those of the own one from time to
+/// time whether they can be followed again.
+void AskLocalSources(Turn& turn) {
+  EntryInstance& instance = turn.instance;
+  if (turn.now < instance.ask_local_at || IsLocal(instance, instance.primary)) {
+    return;
+  }
+  instance.ask_local_at = turn.now + kLocalInterval;
+  for (const auto& [address, source] : instance.sources) {
+    if (IsLocal(instance, address)) {
+      SendBrief(turn, address);
+    }
+  }
+}
+
 void Poll(Turn& turn) {
   EntryInstance& instance = turn.instance;
   if (!IsLost(instance, turn.now)) {
     instance.poll_at = turn.now + kPollInterval;
     SendSubscribe(turn, instance.primary);
+    AskLocalSources(turn);
     return;
   }
   if (instance.primary != 0) {
@@ -218,9 +241,7 @@
                    const ControlSource& source) {
   EntryInstance& instance = turn.instance;
   const bool local = source.data_centre == instance.config.data_centre;
-  const bool has_local = instance.primary != 0 &&
-                         instance.sources.at(instance.primary).data_centre ==
-                             instance.config.data_centre;
+  const bool has_local = IsLocal(instance, instance.primary);
   if (instance.primary == 0 || (local && !has_local)) {
     instance.primary = from;
     instance.poll_at = turn.now;
@@ -242,11 +263,21 @@
   source.knowledge.set_newest_version(newest);
 }
 
+/// A control instance that is new here may be the one of the own data centre.
+void NoteSource(Turn& turn, InstanceAddress address) {
+  if (turn.instance.sources.try_emplace(address).second) {
+    SendBrief(turn, address);
+  }
+}
+
 void HandleUpdate(Turn& turn, InstanceAddress from,
                   const wire::Update& update) {
   EntryInstance& instance = turn.instance;
   for (const InstanceAddress address : update.control_instances()) {
-    instance.sources.try_emplace(address);
+    NoteSource(turn, address);
+  }
+  for (const InstanceAddress address : update.standbys()) {
+    NoteSource(turn, address);
   }
   for (const wire::Knowledge& other : update.others()) {
     TakeKnowledge(instance.sources[other.instance()], other, turn.now);
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -42,6 +42,7 @@
   bool stopped = false;
   TimePoint started_at;
   TimePoint poll_at;
+  TimePoint ask_local_at;
   Milliseconds urgent_interval{0};  ///< Until all are asked again.
   TimePoint housekeeping_at;
   TimePoint stop_at;
--- a/Source/Fleet/ServerOutcomes.cc
+++ b/Source/Fleet/ServerOutcomes.cc
@@ -29,11 +29,9 @@
   if (outcomes.servers().empty()) {
     return;
   }
-  for (const wire::Member& member : instance.replica.committed.members()) {
-    if (member.instance() != instance.config.self) {
-      turn.effects.emplace_back(
-          SendMessage{.to = member.instance(), .message = message});
-    }
+  for (const InstanceAddress other :
+       OtherControlInstances(instance, turn.now)) {
+    turn.effects.emplace_back(SendMessage{.to = other, .message = message});
   }
 }
 
--- a/Tests/Control/ReplicaGroup.h
+++ b/Tests/Control/ReplicaGroup.h
@@ -32,7 +32,8 @@
   std::map<std::uint32_t, std::vector<wire::DurableRecord>> disks;
   std::vector<Packet> network;
   std::set<std::uint32_t> down;
-  std::map<std::uint64_t, std::string> decided;        ///< seq -> change.
+  std::set<std::uint32_t> cut_off;               ///< Run, but no packet passes.
+  std::map<std::uint64_t, std::string> decided;  ///< seq -> change.
   std::map<std::uint64_t, wire::RulesFile> submitted;  ///< token -> file.
   std::map<std::uint64_t, std::string> accepted;       ///< version -> digest.
   std::vector<wire::RulesFile> refused;
@@ -193,7 +194,10 @@
   const Packet packet = group.network[index];
   group.network.erase(group.network.begin() +
                       static_cast<std::ptrdiff_t>(index));
-  if (!group.down.contains(packet.to) && group.replicas.contains(packet.to)) {
+  const bool passes = !group.cut_off.contains(packet.from) &&
+                      !group.cut_off.contains(packet.to);
+  if (passes && !group.down.contains(packet.to) &&
+      group.replicas.contains(packet.to)) {
     Apply(group, packet.to,
           ControlReceived{.from = packet.from, .message = packet.message});
   }
@@ -208,18 +212,23 @@
   }
 }
 
+/// Lets time pass; every packet that may pass arrives at once.
+inline void PassTime(Group& group, Milliseconds time) {
+  constexpr Milliseconds kStep{20};
+  for (Milliseconds passed{0}; passed < time; passed += kStep) {
+    Tick(group, kStep);
+    while (!group.network.empty()) {
+      Deliver(group, 0);
+    }
+  }
+}
+
 /// Lets time pass without faults until nothing more happens.
 inline void Settle(Group& group) {
-  constexpr int kRounds = 400;
   for (std::uint32_t id : std::set(group.down)) {
     Boot(group, id);
   }
-  for (int round = 0; round < kRounds; ++round) {
-    Tick(group, Milliseconds(20));
-    while (!group.network.empty()) {
-      Deliver(group, 0);
-    }
-  }
+  PassTime(group, Milliseconds(8000));
 }
 
 inline void Submit(Group& group, std::uint32_t id, std::uint64_t version,
