Admission: Refuse at once what would be answered too late

Cause: with more work than servers can do, their queues fill within 120 ms and every answer waits behind a full queue.

Ruled out (docs/design/0008): own flows times instances (wrong after a shift or a cut), shared counts (400 ms old), a share steered by past durations alone (swings), random refusals (callers come again and take places in vain), each instance keeping to its share of the servers (no help beyond capacity).

Change: a library of its own estimates how long a flow will take by its objective, from the flows that ended and those in flight at the rate at which they end. Never copies, open flows, or anything while nothing is known. Setting refuse_overload, metrics, log inputs.

--- /dev/null
+++ b/Bench/OverloadEmulator.cc
@@ -0,0 +1,312 @@
+#include "Bench/OverloadEmulator.h"
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+
+#include "Admission/Admission.h"
+#include "Placement/Placement.h"
+
+namespace filbertwall {
+namespace {
+
+constexpr double kTripMs = 2;
+constexpr double kColdFactor = 1.6;
+constexpr double kWorkSpread = 0.5;
+constexpr std::uint32_t kMostTries = 3;
+/// A caller waits so long before it tries again, and twice as long next time.
+constexpr double kFirstPauseMs = 100;
+
+struct Request {
+  double asked_ms = 0;
+  std::uint32_t tries = 0;
+  std::uint64_t caller = 0;
+  bool order = false;
+  bool in_surge = false;
+};
+
+/// One try of a request, on its way through one instance to one server.
+struct Attempt {
+  std::size_t request = 0;
+  std::uint32_t instance = 0;
+  ServerIndex server = 0;
+  double opened_ms = 0;
+};
+
+struct EmulatedServer {
+  std::uint32_t busy = 0;
+  std::deque<Attempt> queue;
+  bool lost = false;
+  bool cold = false;
+};
+
+struct EmulatedInstance {
+  Placement placement;
+  Admission admission;
+};
+
+struct Event {
+  double at_ms = 0;
+  std::uint64_t order = 0;
+  std::function<void()> run;
+  bool operator<(const Event& other) const {
+    return this->at_ms != other.at_ms ? this->at_ms > other.at_ms
+                                      : this->order > other.order;
+  }
+};
+
+class Emulator {
+ public:
+  Emulator(const OverloadScenario& scenario, const OverloadPolicy& policy)
+      : scenario(scenario), policy(policy), random(scenario.seed) {
+    this->AddServers();
+    this->AddInstances();
+  }
+
+  OverloadOutcome Play() {
+    this->At(this->scenario.calm_s * 1000, [this] { this->StartSurge(); });
+    this->Arrive();
+    while (!this->events.empty()) {
+      const Event event = this->events.top();
+      this->events.pop();
+      this->now_ms = event.at_ms;
+      event.run();
+    }
+    return this->outcome;
+  }
+
+ private:
+  void AddServers() {
+    this->servers.resize(this->scenario.servers);
+    this->capacity_per_ms =
+        this->scenario.servers * this->scenario.slots / this->scenario.work_ms;
+  }
+
+  void AddInstances() {
+    this->instances.resize(this->scenario.instances);
+    for (std::uint32_t i = 0; i < this->scenario.instances; ++i) {
+      EmulatedInstance& instance = this->instances[i];
+      instance.placement.config = {.data_centre = "a", .seed = i * 977 + 5};
+      for (std::uint32_t s = 0; s < this->scenario.servers; ++s) {
+        wire::ServerRecord record;
+        record.set_id(std::to_string(1000 + s));
+        record.set_service("desk");
+        record.set_ip(1000 + s);
+        record.set_port(80);
+        record.set_slots(this->scenario.slots);
+        record.set_incarnation(1);
+        record.set_data_centre("a");
+        UpdateServer(instance.placement, record, this->Now());
+      }
+      RefreshUsable(instance.placement);
+    }
+  }
+
+  TimePoint Now() const {
+    return TimePoint(std::chrono::hours(1)) +
+           Microseconds(static_cast<std::int64_t>(this->now_ms * 1000));
+  }
+
+  void At(double at_ms, std::function<void()> run) {
+    this->events.push(Event{
+        .at_ms = at_ms, .order = this->next_order++, .run = std::move(run)});
+  }
+
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+
+  bool InSurge() const {
+    const double begin = this->scenario.calm_s * 1000;
+    return this->now_ms >= begin &&
+           this->now_ms < begin + this->scenario.surge_s * 1000;
+  }
+
+  void StartSurge() {
+    for (std::uint32_t s = 0; s < this->scenario.lost_servers; ++s) {
+      this->servers[s].lost = true;
+    }
+    const std::uint32_t cold_end =
+        this->scenario.lost_servers + this->scenario.cold_servers;
+    for (std::uint32_t s = this->scenario.lost_servers; s < cold_end; ++s) {
+      this->servers[s].cold = true;
+    }
+    const double left = this->scenario.servers - this->scenario.lost_servers -
+                        this->scenario.cold_servers * (1 - 1 / kColdFactor);
+    this->surge_capacity_per_ms =
+        left * this->scenario.slots / this->scenario.work_ms;
+    this->outcome.capacity =
+        this->surge_capacity_per_ms * this->scenario.surge_s * 1000;
+  }
+
+  void Arrive() {
+    const double rate =
+        this->InSurge()
+            ? this->scenario.surge_load * this->surge_capacity_per_ms
+            : this->scenario.usual_load * this->capacity_per_ms;
+    const double pause = -std::log(1 - this->Draw()) / rate;
+    const double end =
+        (2 * this->scenario.calm_s + this->scenario.surge_s) * 1000;
+    if (this->now_ms + pause > end) {
+      return;
+    }
+    this->At(this->now_ms + pause, [this] {
+      Request request{.asked_ms = this->now_ms,
+                      .caller = static_cast<std::uint64_t>(this->Draw() * 400),
+                      .order = this->Draw() < this->scenario.order_share,
+                      .in_surge = this->InSurge()};
+      this->outcome.asked += request.in_surge ? 1 : 0;
+      this->outcome.orders += request.in_surge && request.order ? 1 : 0;
+      this->requests.push_back(request);
+      this->Try(this->requests.size() - 1);
+      this->Arrive();
+    });
+  }
+
+  void Try(std::size_t index) {
+    Request& request = this->requests[index];
+    request.tries += 1;
+    const auto chosen =
+        static_cast<std::uint32_t>(this->Draw() * this->scenario.instances);
+    EmulatedInstance& instance = this->instances[chosen];
+    instance.admission.round = static_cast<std::uint64_t>(this->now_ms) / 2000;
+    if (this->policy.admission &&
+        !Admit(instance.admission,
+               {.service = 0,
+                .caller = static_cast<std::uint32_t>(request.caller),
+                .repeatable = !request.order},
+               this->Now())) {
+      this->NoteRefused();
+      this->TryAgain(index, &OverloadOutcome::refused);
+      return;
+    }
+    const auto server =
+        ChooseServer(instance.placement,
+                     {.service = 0, .repeatable = !request.order}, this->Now());
+    NoteOpening(instance.placement.servers[*server], this->Now());
+    const Attempt attempt{.request = index,
+                          .instance = chosen,
+                          .server = *server,
+                          .opened_ms = this->now_ms};
+    this->At(this->now_ms + kTripMs, [this, attempt] { this->Reach(attempt); });
+  }
+
+  void NoteRefused() {
+    constexpr double kSettleMs = 300;
+    const double end =
+        (this->scenario.calm_s + this->scenario.surge_s) * 1000 + kSettleMs;
+    this->outcome.refused_when_calm += this->now_ms > end ? 1 : 0;
+  }
+
+  void TryAgain(std::size_t index, std::uint32_t OverloadOutcome::*last) {
+    const Request& request = this->requests[index];
+    const double pause =
+        kFirstPauseMs * std::pow(2, request.tries - 1) * (0.5 + this->Draw());
+    const bool may =
+        request.tries < kMostTries &&
+        this->now_ms + pause < request.asked_ms + this->scenario.timeout_ms;
+    if (may) {
+      this->At(this->now_ms + pause, [this, index] { this->Try(index); });
+    } else if (request.in_surge) {
+      this->outcome.*last += 1;
+    }
+  }
+
+  void Reach(const Attempt& attempt) {
+    EmulatedServer& server = this->servers[attempt.server];
+    Placement& placement = this->instances[attempt.instance].placement;
+    if (server.lost) {
+      constexpr double kCopyPauseMs = 200;
+      this->At(attempt.opened_ms + kCopyPauseMs, [this, attempt, &placement] {
+        NoteUnanswered(placement, attempt.server, this->Now());
+        this->requests[attempt.request].tries -= 1;  // A copy is no new try.
+        this->Try(attempt.request);
+      });
+      return;
+    }
+    this->At(this->now_ms + 2 * kTripMs, [this, attempt, &placement] {
+      NoteAnswered(placement, attempt.server, this->Now());
+      NoteBegun(this->instances[attempt.instance].admission, 0);
+    });
+    if (server.busy < this->scenario.slots) {
+      this->Begin(attempt);
+    } else if (server.queue.size() < this->scenario.queue) {
+      server.queue.push_back(attempt);
+    } else {
+      this->At(this->now_ms + 3 * kTripMs, [this, attempt, &placement] {
+        const auto took = Milliseconds(
+            static_cast<std::int64_t>(this->now_ms - attempt.opened_ms));
+        NoteEnded(placement, attempt.server, true, took, this->Now());
+        NoteLeft(this->instances[attempt.instance].admission, 0);
+        this->TryAgain(attempt.request, &OverloadOutcome::shed);
+      });
+    }
+  }
+
+  void Begin(const Attempt& attempt) {
+    EmulatedServer& server = this->servers[attempt.server];
+    server.busy += 1;
+    std::lognormal_distribution<double> spread(-kWorkSpread * kWorkSpread / 2,
+                                               kWorkSpread);
+    const double work = this->scenario.work_ms * spread(this->random) *
+                        (server.cold ? kColdFactor : 1);
+    this->At(this->now_ms + work, [this, attempt] { this->Finish(attempt); });
+  }
+
+  void Finish(const Attempt& attempt) {
+    EmulatedServer& server = this->servers[attempt.server];
+    server.busy -= 1;
+    if (!server.queue.empty()) {
+      const Attempt next = server.queue.front();
+      server.queue.pop_front();
+      this->Begin(next);
+    }
+    this->At(this->now_ms + 2 * kTripMs,
+             [this, attempt] { this->End(attempt); });
+  }
+
+  void End(const Attempt& attempt) {
+    EmulatedInstance& instance = this->instances[attempt.instance];
+    const auto took = Milliseconds(
+        static_cast<std::int64_t>(this->now_ms - attempt.opened_ms));
+    NoteEnded(instance.placement, attempt.server, true, took, this->Now());
+    NoteLeft(instance.admission, 0);
+    NoteServed(
+        instance.admission, 0, took,
+        Milliseconds(static_cast<std::int64_t>(this->scenario.objective_ms)),
+        this->Now());
+    const Request& request = this->requests[attempt.request];
+    if (!request.in_surge) {
+      return;
+    }
+    const bool in_time =
+        this->now_ms - request.asked_ms <= this->scenario.objective_ms;
+    (in_time ? this->outcome.in_time : this->outcome.late) += 1;
+    this->outcome.orders_in_time += in_time && request.order ? 1 : 0;
+  }
+
+  OverloadScenario scenario;
+  OverloadPolicy policy;
+  std::mt19937_64 random;
+  std::vector<EmulatedServer> servers;
+  std::vector<EmulatedInstance> instances;
+  std::vector<Request> requests;
+  std::priority_queue<Event> events;
+  std::uint64_t next_order = 0;
+  double now_ms = 0;
+  double capacity_per_ms = 0;
+  double surge_capacity_per_ms = 0;
+  OverloadOutcome outcome;
+};
+
+}  // namespace
+
+OverloadOutcome PlayOverload(const OverloadScenario& scenario,
+                             const OverloadPolicy& policy) {
+  return Emulator(scenario, policy).Play();
+}
+
+}  // namespace filbertwall
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -365,6 +365,7 @@
   instance.urgent_interval = kShortestUrgentInterval;
   instance.forwarder.placement.config = {.data_centre = config.data_centre,
                                          .seed = config.incarnation};
+  instance.forwarder.refuses_overload = config.refuse_overload;
   return instance;
 }
 
@@ -390,6 +391,7 @@
   const bool started = instance.started_at != TimePoint();
   if (started && now > NextDue(instance) + kStallLimit) {
     instance.forwarder.discard_openings_until = now + kStallDiscard;
+    ForgetMeasured(instance.forwarder.admission);
   }
 }
 
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -25,7 +25,8 @@
   std::set<InstanceAddress> seeds;       ///< Control instances to ask first.
   std::uint32_t tolerated_losses = 1;    ///< Disks that may be lost at once.
   Milliseconds announce_interval{1000};  ///< Between a server's reports.
-  std::uint64_t incarnation = 0;         ///< Differs at each start.
+  bool refuse_overload = true;    ///< New flows that would be served too late.
+  std::uint64_t incarnation = 0;  ///< Differs at each start.
 };
 
 /// A message of another instance.
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -82,6 +82,7 @@
   AddCounter(samples, "packets_total", packets, counters.no_route, "no_route");
   AddCounter(samples, "packets_total", packets, counters.no_server,
              "no_server");
+  AddCounter(samples, "packets_total", packets, counters.overload, "overload");
   AddCounter(samples, "packets_total", packets, counters.unknown_token,
              "unknown_token");
   AddCounter(samples, "packets_total", packets, figures.malformed_packets,
@@ -97,6 +98,18 @@
   AddCounter(samples, "flows_expired_total",
              "Flows whose end was not seen within their time limit.",
              counters.expired);
+  AddCounter(samples, "orders_refused_total",
+             "New flows refused for load whose requests may not be repeated.",
+             instance.forwarder.admission.counters.refused_orders);
+  double slowest = 0;
+  for (std::uint32_t i = 0; i < instance.forwarder.admission.services.size();
+       ++i) {
+    slowest = std::max(slowest,
+                       ExpectedSlowness(instance.forwarder.admission, i, now));
+  }
+  AddGauge(samples, "expected_slowness",
+           "Expected time to an answer by its objective, slowest service.",
+           slowest);
   AddGauge(samples, "flows_open", "Flows that were opened here.",
            static_cast<double>(instance.forwarder.flows.size()));
   const auto avoided = std::count_if(
--- a/Source/Forwarding/FlowOutcomes.cc
+++ b/Source/Forwarding/FlowOutcomes.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-void NoteAnswer(FlowOutcomes& outcomes, RouteKey address, ServerIndex server,
+bool NoteAnswer(FlowOutcomes& outcomes, RouteKey address, ServerIndex server,
                 std::uint32_t length) {
   double& usual = outcomes.usual_length[address];
   const bool is_short = length < usual * kShortAnswer;
@@ -22,6 +22,7 @@
   usual += (usual == 0 ? 1 : kLengthWeight) * (measured - usual);
   OutcomeDelta& delta = outcomes.untold[server];
   (is_short ? delta.failed : delta.served) += 1;
+  return !is_short;
 }
 
 void NoteFailure(FlowOutcomes& outcomes, ServerIndex server) {
--- a/Source/Forwarding/FlowOutcomes.h
+++ b/Source/Forwarding/FlowOutcomes.h
@@ -27,8 +27,9 @@
   std::unordered_map<RouteKey, double> usual_length;
 };
 
-/// A flow has ended in order, after an answer of `length` bytes.
-void NoteAnswer(FlowOutcomes& outcomes, RouteKey address, ServerIndex server,
+/// A flow has ended in order, after an answer of `length` bytes. False when the
+/// answer is so short that it is taken for an error.
+bool NoteAnswer(FlowOutcomes& outcomes, RouteKey address, ServerIndex server,
                 std::uint32_t length);
 
 /// A flow was given up, or is late.
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -38,11 +38,34 @@
   forwarder.flows[packet.key] = OpenFlow{.server = server,
                                          .opened_at = now,
                                          .due_at = due_at,
-                                         .expires_at = expires_at};
+                                         .expires_at = expires_at,
+                                         .objective = route.objective};
   forwarder.expiries.emplace(due_at, packet.key);
   NoteOpening(forwarder.placement.servers[server], now);
 }
 
+/// Whether a new flow is refused for load. Copies never are: a server may have
+/// accepted the flow by then.
+bool IsRefused(Forwarder& forwarder, const FlowPacket& packet,
+               const RouteEntry& route, ServiceIndex service, TimePoint now) {
+  const bool judged = forwarder.refuses_overload && packet.copies == 0 &&
+                      route.objective.count() > 0;
+  return judged && !Admit(forwarder.admission,
+                          AdmissionRequest{
+                              .service = service,
+                              .caller = packet.key.caller.ip,
+                              .repeatable = route.kind != wire::REQUEST_UNSAFE},
+                          now);
+}
+
+/// A flow that its server had accepted is no longer in flight there.
+void NoteGone(Forwarder& forwarder, const OpenFlow& flow) {
+  if (flow.answered && !flow.overdue) {
+    NoteLeft(forwarder.admission,
+             forwarder.placement.servers[flow.server].service);
+  }
+}
+
 Decision Open(Forwarder& forwarder, const FlowPacket& packet, TimePoint now) {
   const auto route = forwarder.routes.routes.find(KeyOf(packet.key.address));
   if (route == forwarder.routes.routes.end()) {
@@ -64,6 +87,10 @@
   }
   const ServiceIndex service =
       ServiceOf(route->second, FlowKeyHash()(packet.key));
+  if (IsRefused(forwarder, packet, route->second, service, now)) {
+    forwarder.counters.overload += 1;
+    return Reset(ForwardReason::kOverload);
+  }
   const NewFlow flow{.service = service,
                      .except = except,
                      .repeatable = route->second.kind != wire::REQUEST_UNSAFE};
@@ -93,6 +120,18 @@
   }
 }
 
+/// Tells the admission how long a flow took. One that is far too late shows a
+/// path that was cut, or a server that fails, and no queue.
+void NoteInTime(Forwarder& forwarder, const OpenFlow& flow, bool whole,
+                TimePoint now) {
+  if (whole && flow.answered && !flow.overdue && flow.objective.count() > 0) {
+    NoteServed(forwarder.admission,
+               forwarder.placement.servers[flow.server].service,
+               std::chrono::duration_cast<Milliseconds>(now - flow.opened_at),
+               flow.objective, now);
+  }
+}
+
 /// Keeps the counts of placement right with what a later packet shows.
 void NotePacket(Forwarder& forwarder, const FlowPacket& packet, TimePoint now) {
   const auto known = forwarder.flows.find(packet.key);
@@ -107,6 +146,8 @@
     forwarder.first_answer.Add(
         std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
     NoteAnswered(forwarder.placement, flow.server, now);
+    NoteBegun(forwarder.admission,
+              forwarder.placement.servers[flow.server].service);
   }
   NoteReceived(flow, packet.received);
   if (packet.closes || packet.aborts) {
@@ -115,9 +156,12 @@
       duration = std::chrono::duration_cast<Milliseconds>(now - flow.opened_at);
     }
     NoteEnded(forwarder.placement, flow.server, flow.answered, duration, now);
+    NoteGone(forwarder, flow);
     if (packet.closes && flow.length_known) {
-      NoteAnswer(forwarder.outcomes, KeyOf(packet.key.address), flow.server,
-                 flow.received - flow.received_at_first);
+      const bool whole =
+          NoteAnswer(forwarder.outcomes, KeyOf(packet.key.address), flow.server,
+                     flow.received - flow.received_at_first);
+      NoteInTime(forwarder, flow, whole, now);
     } else if (packet.aborts && flow.answered && !flow.overdue) {
       NoteFailure(forwarder.outcomes, flow.server);
     }
@@ -166,6 +210,7 @@
     }
     OpenFlow& flow = found->second;
     if (flow.answered && !flow.overdue) {
+      NoteGone(forwarder, flow);
       flow.overdue = true;
       NoteFailure(forwarder.outcomes, flow.server);
     }
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "Admission/Admission.h"
 #include "Base/Endpoint.h"
 #include "Base/Histogram.h"
 #include "Base/Time.h"
@@ -38,6 +39,7 @@
   kRouteDropped,  ///< The rules in force have dropped the address.
   kUnknownToken,  ///< No server with this token is known.
   kNoServer,      ///< The service has no server that may take it.
+  kOverload,      ///< Its answer would come too late.
   kNotServing,    ///< This instance does not know the newest rules yet.
   kStale,         ///< It waited while this instance stood still.
 };
@@ -56,9 +58,10 @@
   TimePoint expires_at;
   std::uint32_t received_at_first = 0;  ///< Before the answer.
   std::uint32_t received = 0;           ///< The furthest so far.
-  bool length_known = true;  ///< Its sequence numbers are of one answer.
-  bool answered = false;     ///< The server has accepted the flow.
-  bool overdue = false;      ///< It did not end by `due_at`.
+  bool length_known = true;   ///< Its sequence numbers are of one answer.
+  bool answered = false;      ///< The server has accepted the flow.
+  bool overdue = false;       ///< It did not end by `due_at`.
+  Milliseconds objective{0};  ///< 0: none.
 };
 
 struct ForwarderCounters {
@@ -68,6 +71,7 @@
   std::uint64_t no_route = 0;
   std::uint64_t unknown_token = 0;
   std::uint64_t no_server = 0;
+  std::uint64_t overload = 0;
   std::uint64_t expired = 0;
 };
 
@@ -84,6 +88,8 @@
   /// Flows by the time at which they are looked at again.
   std::multimap<TimePoint, FlowKey> expiries;
   FlowOutcomes outcomes;
+  Admission admission;
+  bool refuses_overload = true;
   ForwarderCounters counters;
   Histogram first_answer;  ///< From an opening packet to its follow-up.
 };
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -181,6 +181,7 @@
           {"tolerated_losses", NumberSetter(fleet.tolerated_losses, 0)},
           {"announce_interval", DurationSetter(fleet.announce_interval)},
           {"metrics_port", PortSetter(fleet.metrics_port)},
+          {"refuse_overload", BooleanSetter(fleet.refuse_overload)},
           {"peer_port", PortSetter(fleet.peer_port)}};
 }
 
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -40,6 +40,7 @@
   std::uint32_t tolerated_losses = 1;  ///< Disks that may be lost at once.
   Milliseconds announce_interval{1000};  ///< Between a server's reports.
   std::uint16_t metrics_port = 0;        ///< 0: no metrics are served.
+  bool refuse_overload = true;  ///< New flows that would be served too late.
   /// Where other instances are reached; 0: the port of control_address.
   std::uint16_t peer_port = 0;
 };
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -16,6 +16,9 @@
 
 constexpr Milliseconds kSettingsInterval{2000};
 
+/// For so long the same callers are refused when a service has too much to do.
+constexpr Milliseconds kRefusalRound{2000};
+
 const char* ReasonName(ForwardReason reason) {
   switch (reason) {
     case ForwardReason::kToken:
@@ -32,6 +35,8 @@
       return "unknown-token";
     case ForwardReason::kNoServer:
       return "no-server";
+    case ForwardReason::kOverload:
+      return "overload";
     case ForwardReason::kNotServing:
       return "not-serving";
     case ForwardReason::kStale:
@@ -67,6 +72,8 @@
   void HandlePacket(const ReceivedDatagram& datagram, TimePoint now);
   /// Forwards the held packets that are due.
   void ReleaseHeld();
+  std::string LoadText(const FlowPacket& packet) const;
+  void StepRound(TimePoint now);
   void LogDecision(const FlowPacket& packet, const Decision& decision);
   void ReloadSettings();
   std::string MetricsNow() const;
@@ -80,6 +87,7 @@
   HttpServer http;
   MetricsServer metrics;
   EntryInstance instance;
+  TimePoint round_ends_at;  ///< See `Admission::round`.
   Histogram batch_time;
   std::uint64_t malformed_packets = 0;
   TimePoint settings_at;
@@ -171,6 +179,7 @@
   this->resets.reserve(batch.size());
   const TimePoint now = FleetNow();
   NoteStall(this->instance, now);
+  this->StepRound(now);
   for (const ReceivedDatagram& datagram : batch) {
     this->HandlePacket(datagram, now);
   }
@@ -179,6 +188,19 @@
       std::chrono::duration_cast<Microseconds>(FleetNow() - now));
 }
 
+void EntryRuntime::StepRound(TimePoint now) {
+  if (now < this->round_ends_at) {
+    return;
+  }
+  // Of the time of day, so that all instances refuse the same callers. When it
+  // jumps, others are refused.
+  const auto since_epoch = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  this->instance.forwarder.admission.round =
+      static_cast<std::uint64_t>(since_epoch / kRefusalRound);
+  this->round_ends_at = now + kRefusalRound - since_epoch % kRefusalRound;
+}
+
 std::string EntryRuntime::MetricsNow() const {
   return FormatMetrics(CollectMetrics(
       this->instance,
@@ -247,6 +269,25 @@
   this->packets.Flush();
 }
 
+/// What a refusal for load went by.
+std::string EntryRuntime::LoadText(const FlowPacket& packet) const {
+  const Forwarder& forwarder = this->instance.forwarder;
+  const auto route = forwarder.routes.routes.find(KeyOf(packet.key.address));
+  if (route == forwarder.routes.routes.end()) {
+    return "";
+  }
+  const ServiceIndex service =
+      ServiceOf(route->second, FlowKeyHash()(packet.key));
+  const ServicePace& pace = forwarder.admission.services.at(service);
+  return " expected=" +
+         std::to_string(
+             ExpectedSlowness(forwarder.admission, service, FleetNow())) +
+         " lately=" + std::to_string(pace.slowness) +
+         " in_flight=" + std::to_string(pace.in_flight) +
+         " objective_ms=" + std::to_string(route->second.objective.count()) +
+         " round=" + std::to_string(forwarder.admission.round);
+}
+
 void EntryRuntime::LogDecision(const FlowPacket& packet,
                                const Decision& decision) {
   const bool forwarded = decision.verdict == Verdict::kForward;
@@ -266,6 +307,9 @@
                                              : EventId::kPacketDropped;
     text += " token=" + std::to_string(packet.token);
   }
+  if (decision.reason == ForwardReason::kOverload) {
+    text += this->LoadText(packet);
+  }
   WriteLog({.id = id,
             .severity = forwarded ? Severity::kInfo : Severity::kWarning,
             .text = text});
@@ -289,6 +333,7 @@
                      .data_centre = settings.data_centre,
                      .tolerated_losses = settings.fleet.tolerated_losses,
                      .announce_interval = settings.fleet.announce_interval,
+                     .refuse_overload = settings.fleet.refuse_overload,
                      .incarnation = incarnation};
   for (const Endpoint& seed : settings.fleet.seeds) {
     config.seeds.insert(seed.ip);
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -319,6 +319,42 @@
   CHECK(decision.reason == ForwardReason::kNoServer);
 }
 
+TEST(Forwarder, NewFlowsAreRefusedForLoadAndCopiesAndOpenFlowsNever) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 9, "proof");
+  routes.mutable_set(0)->set_objective_ms(100);
+  routes.mutable_set(0)->set_kind(wire::REQUEST_SAFE);
+  ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement);
+  TimePoint now = kStart;
+  const auto open = [&](std::uint16_t port) {
+    return DecidePacket(this->forwarder, Opening(port), now);
+  };
+  const std::uint32_t token =
+      this->forwarder.placement.servers[open(1).server].token;
+  DecidePacket(this->forwarder, Later(1, token), now);
+  // Each flow takes half as long again as it may.
+  for (std::uint16_t port = 100; port < 140; ++port) {
+    if (open(port).verdict != Verdict::kForward) {
+      break;
+    }
+    FlowPacket first = Later(port, token);
+    DecidePacket(this->forwarder, first, now);
+    now += Milliseconds(150);
+    FlowPacket last = Later(port, token);
+    last.closes = true;
+    last.received = 1000;
+    DecidePacket(this->forwarder, last, now);
+  }
+  const Decision refused = open(500);
+  CHECK(refused.verdict == Verdict::kReset);
+  CHECK(refused.reason == ForwardReason::kOverload);
+  CHECK(DecidePacket(this->forwarder, Opening(501, 1), now).verdict ==
+        Verdict::kForward);
+  CHECK(DecidePacket(this->forwarder, Later(1, token), now).verdict ==
+        Verdict::kForward);
+  this->forwarder.refuses_overload = false;
+  CHECK(open(502).verdict == Verdict::kForward);
+}
+
 TEST(Forwarder, SharesAreKeptByWeight) {
   wire::RoutesUpdate update = MakeRoutes(0, 8, "proof");
   update.mutable_set(0)->mutable_shares(0)->set_weight(9);
