Admission: Believe that a queue has gone, and forget

Durations are as old as they are long; and once all was refused no flow ended, so nothing corrected them. Seen in the log: expected=1.35 in_flight=0 for 1.5 s.

Change: an instance with nothing in flight at a service admits; durations fade once no flow has ended for longer than usual; when the flows in flight say less than past durations, they are believed.

Tests: three new ones, red before; the flows in flight of the older ones now agree with their durations, since two numbers that contradict each other no longer mean an overload.

--- a/Source/Admission/Admission.cc
+++ b/Source/Admission/Admission.cc
@@ -24,6 +24,13 @@
 constexpr double kDurationWeight = 0.15;
 /// Flows in flight whose number tells as much as the last durations.
 constexpr double kTellingFlows = 6;
+/// The same when the queue seems to have gone since those ended: their
+/// durations are as old as they are long.
+constexpr double kTellingFlowsWhenFewer = 0.5;
+/// Pauses between ends that are nothing unusual, in mean pauses.
+constexpr double kUsualPauses = 3;
+/// In which durations count by e-fold less, beyond those pauses.
+constexpr Milliseconds kForgetTime{150};
 /// Without an end for so long, nothing is known.
 constexpr Milliseconds kMemory{1500};
 constexpr std::uint64_t kDrawRange = 1U << 20U;
@@ -55,6 +62,16 @@
   return std::min(kMostSlowness, wait_ms / pace.objective_ms);
 }
 
+/// The moving average of durations, which counts for less once no flow has
+/// ended for longer than usual.
+double SlownessLately(const ServicePace& pace, TimePoint now) {
+  const double silence =
+      std::chrono::duration<double, std::milli>(now - pace.ended_at).count();
+  const double usual_pause = CountOf(kFadeTime) / pace.ended;
+  const double excess = std::max(0.0, silence - kUsualPauses * usual_pause);
+  return pace.slowness * std::exp(-excess / CountOf(kForgetTime));
+}
+
 /// The share that is admitted.
 double ShareOf(const RefusalRange& range, double slowness) {
   const double width = range.all_refused - range.none_refused;
@@ -76,11 +93,15 @@
   if (!IsKnown(pace, now)) {
     return 0;
   }
-  if (pace.slowness < kQueueingSlowness) {
-    return pace.slowness;
+  const double lately = SlownessLately(pace, now);
+  if (lately < kQueueingSlowness) {
+    return lately;
   }
-  const double trust = pace.in_flight / (pace.in_flight + kTellingFlows);
-  return trust * SlownessByNumber(pace, now) + (1 - trust) * pace.slowness;
+  const double by_number = SlownessByNumber(pace, now);
+  const double telling =
+      by_number < lately ? kTellingFlowsWhenFewer : kTellingFlows;
+  const double trust = pace.in_flight / (pace.in_flight + telling);
+  return trust * by_number + (1 - trust) * lately;
 }
 
 bool Admit(Admission& admission, const AdmissionRequest& request,
@@ -90,7 +111,10 @@
       ShareOf(request.repeatable ? kRepeatable : kOrders, slowness);
   const std::uint64_t draw =
       MixHash(request.caller, admission.round) % kDrawRange;
-  const bool admitted = static_cast<double>(draw) < share * kDrawRange;
+  // One that holds nothing of a service can't be the one that fills it, and
+  // would otherwise not see that it has room again.
+  const bool admitted = PaceOf(admission, request.service).in_flight == 0 ||
+                        static_cast<double>(draw) < share * kDrawRange;
   AdmissionCounters& counters = admission.counters;
   counters.admitted += admitted ? 1 : 0;
   counters.refused += admitted ? 0 : 1;
--- a/Tests/Admission/AdmissionTest.cc
+++ b/Tests/Admission/AdmissionTest.cc
@@ -14,9 +14,21 @@
 constexpr Milliseconds kObjective{100};
 constexpr std::uint32_t kCallers = 1000;
 
-/// Flows that each last `duration`, one each millisecond for `time`.
+void SetInFlight(Admission& admission, std::uint32_t flows) {
+  admission.services.resize(1);
+  while (admission.services[0].in_flight > flows) {
+    NoteLeft(admission, 0);
+  }
+  while (admission.services[0].in_flight < flows) {
+    NoteBegun(admission, 0);
+  }
+}
+
+/// Flows that each last `duration`, one each millisecond for `time`, and as
+/// many in flight all the while as that takes.
 TimePoint Serve(Admission& admission, Milliseconds duration, Milliseconds time,
                 TimePoint now) {
+  SetInFlight(admission, static_cast<std::uint32_t>(duration.count()));
   for (Milliseconds passed{0}; passed < time; passed += Milliseconds(1)) {
     now += Milliseconds(1);
     NoteServed(admission, 0, duration, kObjective, now);
@@ -69,7 +81,7 @@
 TEST(Admission, TheExcessIsRefusedAndOrdersLast) {
   Admission admission;
   const TimePoint now =
-      Serve(admission, Milliseconds(60), Milliseconds(500), kStart);
+      Serve(admission, Milliseconds(52), Milliseconds(1500), kStart);
   const double share = ShareAdmitted(admission, true, now);
   CHECK(share > 0 && share < 1);
   DOUBLES_EQUAL(1, ShareAdmitted(admission, false, now), 0);
@@ -89,8 +101,9 @@
 TEST(Admission, TheSameCallersAreRefusedWithinARound) {
   Admission one;
   Admission other;
-  const TimePoint now = Serve(one, Milliseconds(60), Milliseconds(500), kStart);
-  Serve(other, Milliseconds(60), Milliseconds(500), kStart);
+  const TimePoint now =
+      Serve(one, Milliseconds(52), Milliseconds(1500), kStart);
+  Serve(other, Milliseconds(52), Milliseconds(1500), kStart);
   bool next_round_differs = false;
   for (std::uint32_t caller = 0; caller < kCallers; ++caller) {
     one.round = 1;
@@ -105,6 +118,30 @@
   CHECK(next_round_differs);
 }
 
+TEST(Admission, AnInstanceWithNothingInFlightAdmits) {
+  Admission admission;
+  const TimePoint now =
+      Serve(admission, Milliseconds(140), Milliseconds(500), kStart);
+  SetInFlight(admission, 0);
+  DOUBLES_EQUAL(1, ShareAdmitted(admission, true, now), 0);
+}
+
+TEST(Admission, AQueueThatHasGoneIsNotBelievedForLong) {
+  Admission admission;
+  const TimePoint now =
+      Serve(admission, Milliseconds(140), Milliseconds(500), kStart);
+  SetInFlight(admission, 5);
+  DOUBLES_EQUAL(1, ShareAdmitted(admission, true, now), 0);
+}
+
+TEST(Admission, WhatWasSlowIsForgottenWhenNoFlowEndsAnyMore) {
+  Admission admission;
+  const TimePoint now =
+      Serve(admission, Milliseconds(140), Milliseconds(500), kStart);
+  CHECK(ShareAdmitted(admission, true, now) < 0.1);
+  DOUBLES_EQUAL(1, ShareAdmitted(admission, true, now + Milliseconds(400)), 0);
+}
+
 TEST(Admission, OldMeasurementsRefuseNobody) {
   Admission admission;
   const TimePoint now =
