Fleet, Distribution: Bound what followers ask of a control instance

Each of 350 instances asked every 40 to 120 ms; each answer was built, compared, encoded and compressed anew; a change of any server was pushed to all every 15 ms; heartbeats waited in the same loop.

Routes and records are packed once for all that have the same (PackedContents). Changes go out at most once in 1 ms for each subscriber; other control instances hear of a leaving server at once. Entry instances ask for contents again after 60 ms, then twice as long up to 500 ms, and ask all half as often when few answer. Compression is a module of its own.

--- /dev/null
+++ b/Source/Distribution/PackedContents.cc
@@ -0,0 +1,111 @@
+#include "Distribution/PackedContents.h"
+
+#include "Transport/Compression.h"
+
+namespace filbertwall {
+namespace {
+
+/// The warm-up time that is left in a record grows old meanwhile.
+constexpr Milliseconds kRecordsLifetime{100};
+constexpr char kPlain = 'p';
+constexpr char kCompressed = 'c';
+
+std::string Pack(const std::string& plain) {
+  std::string compressed = Compress(plain);
+  return compressed.empty() ? kPlain + plain : kCompressed + compressed;
+}
+
+std::optional<std::string> UnpackBytes(const std::string& bytes) {
+  const std::string rest = bytes.substr(1);
+  return bytes.front() == kCompressed ? Uncompress(rest) : rest;
+}
+
+bool UnpackRoutes(wire::Update& update) {
+  if (update.packed_routes().empty()) {
+    return true;
+  }
+  const auto plain = UnpackBytes(update.packed_routes());
+  update.clear_packed_routes();
+  return plain && update.mutable_routes()->ParseFromString(*plain);
+}
+
+bool UnpackRecords(wire::Update& update) {
+  if (update.packed_servers().empty()) {
+    return true;
+  }
+  const auto plain = UnpackBytes(update.packed_servers());
+  update.clear_packed_servers();
+  wire::ServerRecords records;
+  if (!plain || !records.ParseFromString(*plain)) {
+    return false;
+  }
+  update.mutable_servers()->MergeFrom(records.servers());
+  return true;
+}
+
+}  // namespace
+
+const std::string& PackRoutesSince(PackedContents& packed,
+                                   const RouteHistory& history,
+                                   std::uint64_t base) {
+  const std::uint64_t newest =
+      history.versions.empty() ? 0 : history.versions.rbegin()->first;
+  if (packed.rules_version != newest) {
+    packed.rules_version = newest;
+    packed.routes.clear();
+  }
+  static const std::string kNothing;
+  if (base >= newest) {
+    return kNothing;
+  }
+  // Every base that is not remembered lacks the same.
+  const std::uint64_t key = history.versions.contains(base) ? base : 0;
+  const auto found = packed.routes.find(key);
+  if (found != packed.routes.end()) {
+    return found->second;
+  }
+  return packed.routes
+      .emplace(key, Pack(RoutesSince(history, base).SerializeAsString()))
+      .first->second;
+}
+
+const PackedRecords& PackRecordsAfter(PackedContents& packed,
+                                      const Registry& registry,
+                                      std::uint64_t change, std::size_t most,
+                                      TimePoint now) {
+  std::erase_if(packed.records, [&](const auto& item) {
+    return item.second.newest_change != registry.change ||
+           now - item.second.packed_at > kRecordsLifetime;
+  });
+  const auto [position, added] = packed.records.try_emplace(change);
+  PackedRecords& records = position->second;
+  if (!added) {
+    return records;
+  }
+  RecordBatch batch = RecordsAfter(registry, change, most, now);
+  wire::ServerRecords message;
+  for (wire::ServerRecord& record : batch.records) {
+    *message.add_servers() = std::move(record);
+  }
+  records = PackedRecords{.change = batch.change,
+                          .complete = batch.complete,
+                          .newest_change = registry.change,
+                          .packed_at = now};
+  if (message.servers_size() > 0) {
+    records.bytes = Pack(message.SerializeAsString());
+  }
+  return records;
+}
+
+bool Unpack(wire::Update& update) {
+  const bool routes = UnpackRoutes(update);
+  const bool records = UnpackRecords(update);
+  if (routes && records) {
+    return true;
+  }
+  update.clear_routes();
+  update.clear_servers();
+  return false;
+}
+
+}  // namespace filbertwall
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -167,6 +167,7 @@
   if (turn.now >= instance.push_at) {
     PushUpdates(turn);
   }
+  AnswerFollowers(turn);
   StepSubmissions(turn);
   StepReports(turn);
   StepOutcomes(turn);
@@ -188,6 +189,15 @@
   });
 }
 
+void TakeUpdate(ControlTurn& turn, InstanceAddress from, wire::Update update) {
+  if (!Unpack(update)) {
+    Log(turn, EventId::kMalformedInput, "an update of " + FormatIp(from),
+        Severity::kWarning);
+    return;
+  }
+  HandleUpdate(turn, from, update);
+}
+
 struct EventVisitor {
   ControlTurn& turn;
   void operator()(const ControlInstanceStarted& event) {
@@ -215,7 +225,7 @@
     } else if (message.has_subscribe()) {
       HandleSubscribe(this->turn, event.from, message.subscribe());
     } else if (message.has_update()) {
-      HandleUpdate(this->turn, event.from, message.update());
+      TakeUpdate(this->turn, event.from, message.update());
     } else if (message.has_outcomes()) {
       HandleOutcomes(this->turn, message.outcomes());
     }
@@ -317,9 +327,9 @@
 
 TimePoint NextDue(const ControlInstance& instance) {
   const Replica& replica = instance.replica;
-  TimePoint due =
-      std::min({instance.subscribe_at, instance.push_at,
-                instance.housekeeping_at, instance.outcomes.judge_at});
+  TimePoint due = std::min(
+      {instance.subscribe_at, instance.push_at, instance.housekeeping_at,
+       instance.outcomes.judge_at, NextDue(instance.questions)});
   if (!instance.disk_failed) {
     const bool leads = replica.role == ReplicaRole::kLeader;
     const TimePoint follower_due =
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -10,8 +10,10 @@
 
 #include "Base/Histogram.h"
 #include "Control/Replica.h"
+#include "Distribution/PackedContents.h"
 #include "Distribution/RouteHistory.h"
 #include "Fleet/Fleet.h"
+#include "Fleet/FollowerQueue.h"
 #include "Outcomes/Outcomes.h"
 #include "Registry/Registry.h"
 
@@ -84,6 +86,8 @@
   Replica replica;
   Registry registry;
   RouteHistory history;
+  PackedContents packed;
+  FollowerQueue questions;
   std::map<InstanceAddress, Subscriber> subscribers;
   std::map<InstanceAddress, RegistrySource> sources;
   std::map<std::uint64_t, Proposal> proposals;  ///< By token.
@@ -95,6 +99,7 @@
   TimePoint started_at;
   TimePoint subscribe_at;
   TimePoint push_at;  ///< Far in the future when nothing is to be pushed.
+  TimePoint pushed_at;
   TimePoint housekeeping_at;
   TimePoint save_at;
   std::uint64_t saved_change = 0;  ///< The registry's change last saved.
--- a/Source/Fleet/ControlTurn.h
+++ b/Source/Fleet/ControlTurn.h
@@ -33,6 +33,9 @@
 /// Tells those who do not know all yet, at once or with what comes next.
 void PushUpdates(ControlTurn& turn);
 void PushSoon(ControlTurn& turn);
+/// Tells the other control instances at once: one of them must know before a
+/// leaving server is answered.
+void PushToControl(ControlTurn& turn);
 /// Tells entry instances what is known here, without contents: those that are
 /// told of changes, and after a start those that were before it.
 void TellFollowers(ControlTurn& turn);
@@ -47,6 +50,8 @@
 void SubscribeToOthers(ControlTurn& turn);
 void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
                      const wire::Subscribe& subscribe);
+/// Answers the entry instances whose turn it is.
+void AnswerFollowers(ControlTurn& turn);
 void HandleUpdate(ControlTurn& turn, InstanceAddress from,
                   const wire::Update& update);
 
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -9,9 +9,11 @@
 
 constexpr Milliseconds kSubscribeInterval{1000};
 constexpr Milliseconds kPushDelay{15};
+/// A follower takes a part of the time between two rounds of changes.
+constexpr Milliseconds kPushTime{1};
 constexpr Milliseconds kSubscriberTimeout{3000};
 /// Backend servers in one update; a receiver that lacks more asks again.
-constexpr std::size_t kMostRecords = 100;
+constexpr std::size_t kMostRecords = 200;
 /// A receiver that is being sent many records asks for the next within this
 /// time.
 constexpr Milliseconds kNextBatchTime{150};
@@ -100,23 +102,19 @@
 }
 
 wire::Update MakeUpdate(ControlTurn& turn, const Subscriber& subscriber) {
-  const ControlInstance& instance = turn.instance;
+  ControlInstance& instance = turn.instance;
   wire::Update update = MakeSummary(turn);
   update.set_registry_epoch(instance.config.incarnation);
   update.set_registry_from(subscriber.registry_change);
-  RecordBatch batch = RecordsAfter(
-      instance.registry, subscriber.registry_change, kMostRecords, turn.now);
-  update.set_registry_change(batch.change);
-  update.set_partial(!batch.complete);
-  for (wire::ServerRecord& record : batch.records) {
-    *update.add_servers() = std::move(record);
-  }
+  const PackedRecords& records =
+      PackRecordsAfter(instance.packed, instance.registry,
+                       subscriber.registry_change, kMostRecords, turn.now);
+  update.set_registry_change(records.change);
+  update.set_partial(!records.complete);
+  update.set_packed_servers(records.bytes);
   if (subscriber.rules_wanted) {
-    const wire::RoutesUpdate routes =
-        RoutesSince(instance.history, subscriber.rules_version);
-    if (routes.version() != 0) {
-      *update.mutable_routes() = routes;
-    }
+    update.set_packed_routes(PackRoutesSince(instance.packed, instance.history,
+                                             subscriber.rules_version));
   }
   return update;
 }
@@ -154,7 +152,7 @@
   *message.mutable_update() = MakeUpdate(turn, subscriber);
   wire::Update& update = *message.mutable_update();
   update.set_confirm(update.partial() ||
-                     (subscriber.control && update.servers_size() > 0));
+                     (subscriber.control && !update.packed_servers().empty()));
   subscriber.batch_until =
       update.partial() ? turn.now + kNextBatchTime : TimePoint();
   if (subscriber.control) {
@@ -164,6 +162,18 @@
       SendMessage{.to = to, .message = std::move(message)});
 }
 
+/// Whether it lacks something and does not ask for it by itself.
+bool IsBehind(const ControlInstance& instance, const Subscriber& subscriber,
+              TimePoint now) {
+  const std::uint64_t version = instance.replica.committed.rules().version();
+  const bool behind =
+      subscriber.registry_change < instance.registry.change ||
+      (subscriber.rules_wanted && subscriber.rules_version < version);
+  // One that is being sent many records will ask for what is new with them.
+  const bool asks_soon = now < subscriber.batch_until;
+  return behind && !asks_soon && IsAlive(subscriber, now);
+}
+
 /// Takes what another control instance says that it knows. When it was away,
 /// entry instances are told at once, since they may wait for a majority.
 void TakeKnowledge(ControlTurn& turn, InstanceAddress from,
@@ -223,22 +233,31 @@
 void PushUpdates(ControlTurn& turn) {
   ControlInstance& instance = turn.instance;
   instance.push_at = kNever;
-  const std::uint64_t version = instance.replica.committed.rules().version();
+  instance.pushed_at = turn.now;
+  for (auto& [address, subscriber] : instance.subscribers) {
+    if (IsBehind(instance, subscriber, turn.now)) {
+      SendUpdate(turn, address, subscriber);
+    }
+  }
+}
+
+void PushToControl(ControlTurn& turn) {
+  ControlInstance& instance = turn.instance;
   for (auto& [address, subscriber] : instance.subscribers) {
-    const bool behind =
-        subscriber.registry_change < instance.registry.change ||
-        (subscriber.rules_wanted && subscriber.rules_version < version);
-    // One that is being sent many records will ask for what is new with them.
-    const bool asks_soon = turn.now < subscriber.batch_until;
-    if (behind && !asks_soon && IsAlive(subscriber, turn.now)) {
+    if (subscriber.control && IsBehind(instance, subscriber, turn.now)) {
       SendUpdate(turn, address, subscriber);
     }
   }
 }
 
 void PushSoon(ControlTurn& turn) {
-  turn.instance.push_at =
-      std::min(turn.instance.push_at, turn.now + kPushDelay);
+  ControlInstance& instance = turn.instance;
+  // What changes meanwhile goes with it, so that many followers do not take
+  // the time of all else when servers change all the time.
+  const Milliseconds pause = kPushTime * instance.subscribers.size();
+  const TimePoint due =
+      std::max(turn.now + kPushDelay, instance.pushed_at + pause);
+  instance.push_at = std::min(instance.push_at, due);
 }
 
 void SubscribeToOthers(ControlTurn& turn) {
@@ -259,19 +278,14 @@
   }
 }
 
-void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
+namespace {
+
+/// Answers a question for what has changed.
+void AnswerSubscribe(ControlTurn& turn, InstanceAddress from,
                      const wire::Subscribe& subscribe) {
   ControlInstance& instance = turn.instance;
   const bool known_epoch =
       subscribe.registry_epoch() == instance.config.incarnation;
-  if (subscribe.brief()) {
-    SendBrief(turn, from);
-    return;
-  }
-  HandleOutcomes(turn, subscribe.outcomes());
-  if (subscribe.has_knowledge()) {
-    TakeKnowledge(turn, from, subscribe.knowledge());
-  }
   Subscriber& subscriber = instance.subscribers[from];
   const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
   const bool is_confirmation =
@@ -290,6 +304,33 @@
   SendUpdate(turn, from, subscriber);
 }
 
+}  // namespace
+
+void AnswerFollowers(ControlTurn& turn) {
+  while (const auto question = TakeNext(turn.instance.questions, turn.now)) {
+    if (question->subscribe.brief()) {
+      SendBrief(turn, question->from);
+    } else {
+      AnswerSubscribe(turn, question->from, question->subscribe);
+    }
+  }
+}
+
+void HandleSubscribe(ControlTurn& turn, InstanceAddress from,
+                     const wire::Subscribe& subscribe) {
+  HandleOutcomes(turn, subscribe.outcomes());
+  if (subscribe.has_knowledge()) {
+    TakeKnowledge(turn, from, subscribe.knowledge());
+  }
+  if (subscribe.control()) {
+    AnswerSubscribe(turn, from, subscribe);
+    return;
+  }
+  Enqueue(turn.instance.questions,
+          FollowerQuestion{.from = from, .subscribe = subscribe}, turn.now);
+  AnswerFollowers(turn);
+}
+
 void HandleUpdate(ControlTurn& turn, InstanceAddress from,
                   const wire::Update& update) {
   ControlInstance& instance = turn.instance;
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -2,17 +2,24 @@
 
 #include <algorithm>
 
+#include "Distribution/PackedContents.h"
+
 namespace filbertwall {
 namespace {
 
 constexpr Milliseconds kPollInterval{400};
-/// The contents are asked for again only after this time.
-constexpr Milliseconds kAnswerTime{40};
+/// The contents are asked for again only after this time, and twice as long
+/// each time: many instances may ask at once, and what is sent twice delays
+/// what they wait for.
+constexpr Milliseconds kAnswerTime{60};
+constexpr Milliseconds kLongestAnswerTime{500};
 /// Without word of the newest rules for this long, all are asked.
 constexpr Milliseconds kFreshLimit{900};
 /// The first of the intervals at which all are asked; each is twice the last.
 constexpr Milliseconds kShortestUrgentInterval{40};
 constexpr Milliseconds kLongestUrgentInterval{120};
+/// When less than half of those asked have answered, they may have no time.
+constexpr Milliseconds kLongestUnansweredInterval{240};
 constexpr Milliseconds kLocalInterval{2000};
 /// Words that are further apart make no majority: a version may have been
 /// accepted between them.
@@ -117,8 +124,11 @@
     instance.urgent_interval = kShortestUrgentInterval;
   }
   instance.poll_at = turn.now + instance.urgent_interval;
-  instance.urgent_interval =
-      std::min(instance.urgent_interval * 2, kLongestUrgentInterval);
+  const bool few_answers = instance.answers * 2 < instance.sources.size();
+  instance.urgent_interval = std::min(
+      instance.urgent_interval * 2,
+      few_answers ? kLongestUnansweredInterval : kLongestUrgentInterval);
+  instance.answers = 0;
   for (const InstanceAddress seed : instance.config.seeds) {
     instance.sources.try_emplace(seed);
   }
@@ -135,12 +145,18 @@
   const bool newer_rules =
       update.rules_version() > instance.forwarder.routes.version;
   const bool first_servers = update.settled() && !instance.servers_known;
+  if (!newer_rules && !first_servers) {
+    instance.answer_time = kAnswerTime;
+    return;
+  }
   const bool asked_just_now = std::any_of(
       instance.sources.begin(), instance.sources.end(), [&](const auto& item) {
-        return turn.now - item.second.asked_at < kAnswerTime;
+        return turn.now - item.second.asked_at < instance.answer_time;
       });
-  if ((newer_rules || first_servers) && !asked_just_now) {
+  if (!asked_just_now) {
     SendSubscribe(turn, from);
+    instance.answer_time =
+        std::min(instance.answer_time * 2, kLongestAnswerTime);
   }
 }
 
@@ -282,6 +298,7 @@
   for (const wire::Knowledge& other : update.others()) {
     TakeKnowledge(instance.sources[other.instance()], other, turn.now);
   }
+  instance.answers += 1;
   ControlSource& source = instance.sources[from];
   source.heard_at = turn.now;
   source.data_centre = update.data_centre();
@@ -338,8 +355,15 @@
     }
   }
   void operator()(const PeerMessage& event) {
-    if (event.message.has_update()) {
-      HandleUpdate(this->turn, event.from, event.message.update());
+    if (!event.message.has_update()) {
+      return;
+    }
+    wire::Update update = event.message.update();
+    if (Unpack(update)) {
+      HandleUpdate(this->turn, event.from, update);
+    } else {
+      Log(this->turn, EventId::kMalformedInput,
+          "an update of " + FormatIp(event.from), Severity::kWarning);
     }
   }
   void operator()(const EntryStopRequested&) {
@@ -363,6 +387,7 @@
 EntryInstance MakeEntryInstance(const FleetConfig& config) {
   EntryInstance instance{.config = config};
   instance.urgent_interval = kShortestUrgentInterval;
+  instance.answer_time = kAnswerTime;
   instance.forwarder.placement.config = {.data_centre = config.data_centre,
                                          .seed = config.incarnation};
   instance.forwarder.refuses_overload = config.refuse_overload;
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -44,6 +44,8 @@
   TimePoint poll_at;
   TimePoint ask_local_at;
   Milliseconds urgent_interval{0};  ///< Until all are asked again.
+  std::size_t answers = 0;          ///< Since all were asked.
+  Milliseconds answer_time{0};      ///< Until contents are asked for again.
   TimePoint housekeeping_at;
   TimePoint stop_at;
 };
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -100,7 +100,7 @@
                     .expires_at = turn.now + kConfirmWait});
   StepReports(turn);
   if (!instance.reports.empty()) {
-    PushUpdates(turn);
+    PushToControl(turn);
   }
 }
 
--- a/Source/Transport/Fragments.cc
+++ b/Source/Transport/Fragments.cc
@@ -1,17 +1,16 @@
 #include "Transport/Fragments.h"
 
-#include <zlib.h>
-
 #include <algorithm>
 #include <cstring>
 
+#include "Transport/Compression.h"
+
 namespace filbertwall {
 namespace {
 
 constexpr std::uint8_t kPlain = 0xF1;
 constexpr std::uint8_t kCompressed = 0xF2;
 constexpr std::size_t kLeastCompressedBytes = 600;
-constexpr std::size_t kLargestMessageBytes = 16U << 20U;
 constexpr std::size_t kMostPartials = 64;
 constexpr Milliseconds kPartialLifetime{2000};
 
@@ -50,45 +49,6 @@
   return header;
 }
 
-/// The compressed message after its plain length, or empty when that is not
-/// shorter.
-std::string Compress(std::string_view message) {
-  uLongf length = compressBound(message.size());
-  const auto plain_length = static_cast<std::uint32_t>(message.size());
-  std::string bytes(sizeof(plain_length) + length, '\0');
-  std::memcpy(bytes.data(), &plain_length, sizeof(plain_length));
-  const int result =
-      compress2(reinterpret_cast<Bytef*>(bytes.data() + sizeof(plain_length)),
-                &length, reinterpret_cast<const Bytef*>(message.data()),
-                message.size(), Z_BEST_SPEED);
-  bytes.resize(sizeof(plain_length) + length);
-  if (result != Z_OK || bytes.size() >= message.size()) {
-    bytes.clear();
-  }
-  return bytes;
-}
-
-std::optional<std::string> Uncompress(std::string_view bytes) {
-  std::uint32_t plain_length = 0;
-  if (bytes.size() < sizeof(plain_length)) {
-    return std::nullopt;
-  }
-  std::memcpy(&plain_length, bytes.data(), sizeof(plain_length));
-  if (plain_length > kLargestMessageBytes) {
-    return std::nullopt;
-  }
-  std::string message(plain_length, '\0');
-  uLongf length = plain_length;
-  const int result = uncompress(
-      reinterpret_cast<Bytef*>(message.data()), &length,
-      reinterpret_cast<const Bytef*>(bytes.data() + sizeof(plain_length)),
-      bytes.size() - sizeof(plain_length));
-  if (result != Z_OK || length != plain_length) {
-    return std::nullopt;
-  }
-  return message;
-}
-
 std::string Join(const std::vector<std::string>& parts) {
   std::string whole;
   for (const std::string& part : parts) {
--- /dev/null
+++ b/Tests/Distribution/PackedContentsTest.cc
@@ -0,0 +1,121 @@
+#include <string>
+
+#include "Distribution/PackedContents.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace filbertwall;
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr std::size_t kMost = 50;
+
+Rules MakeRules(std::uint64_t version, std::uint16_t last_port) {
+  Rules rules{.version = version};
+  for (std::uint16_t port = 1; port <= last_port; ++port) {
+    AddressRule rule{.address = {.ip = 5, .port = port}, .service = "proof"};
+    rule.shares.push_back(SharedService{.service = "proof"});
+    rules.addresses[rule.address] = rule;
+  }
+  return rules;
+}
+
+void AddServer(Registry& registry, const std::string& id) {
+  wire::ServerRecord record;
+  record.set_id(id);
+  record.set_service("proof");
+  record.set_ip(7);
+  record.set_port(80);
+  record.set_slots(2);
+  record.set_incarnation(1);
+  MergeRecord(registry, record, kStart);
+}
+
+}  // namespace
+
+TEST_GROUP(PackedContents) {
+  PackedContents packed;
+  RouteHistory history;
+  Registry registry;
+
+  void setup() override {
+    AddVersion(this->history, MakeRules(3, 1000));
+    for (int i = 0; i < 80; ++i) {
+      AddServer(this->registry, "a" + std::to_string(i));
+    }
+  }
+};
+
+TEST(PackedContents, RoutesArePackedOnceForAll) {
+  const std::string& first = PackRoutesSince(this->packed, this->history, 0);
+  const std::string& other = PackRoutesSince(this->packed, this->history, 1);
+  CHECK(first.data() == other.data());
+  CHECK(first.size() < 10000);
+  wire::Update update;
+  update.set_packed_routes(first);
+  CHECK(Unpack(update));
+  LONGS_EQUAL(1000, update.routes().set_size());
+  CHECK(update.packed_routes().empty());
+}
+
+TEST(PackedContents, ANewVersionIsPackedAnew) {
+  PackRoutesSince(this->packed, this->history, 0);
+  AddVersion(this->history, MakeRules(4, 1001));
+  wire::Update update;
+  update.set_packed_routes(PackRoutesSince(this->packed, this->history, 3));
+  CHECK(Unpack(update));
+  CHECK_EQUAL(3, update.routes().base_version());
+  LONGS_EQUAL(1, update.routes().set_size());
+  CHECK(PackRoutesSince(this->packed, this->history, 4).empty());
+}
+
+TEST(PackedContents, RecordsArePackedOnceUntilOneChanges) {
+  const PackedRecords& first =
+      PackRecordsAfter(this->packed, this->registry, 0, kMost, kStart);
+  CHECK_FALSE(first.complete);
+  LONGS_EQUAL(kMost, first.change);
+  const char* bytes = first.bytes.data();
+  CHECK(bytes ==
+        PackRecordsAfter(this->packed, this->registry, 0, kMost, kStart)
+            .bytes.data());
+  AddServer(this->registry, "b");
+  wire::Update update;
+  update.set_packed_servers(
+      PackRecordsAfter(this->packed, this->registry, 80, kMost, kStart).bytes);
+  CHECK(Unpack(update));
+  LONGS_EQUAL(1, update.servers_size());
+  CHECK_EQUAL(std::string("b"), update.servers(0).id());
+}
+
+TEST(PackedContents, TheWarmUpTimeThatIsLeftIsNotOld) {
+  wire::ServerRecord record;
+  record.set_id("cold");
+  record.set_service("proof");
+  record.set_ip(7);
+  record.set_port(80);
+  record.set_slots(2);
+  record.set_incarnation(1);
+  record.set_warmup_ms(2000);
+  MergeRecord(this->registry, record, kStart);
+  PackRecordsAfter(this->packed, this->registry, 80, kMost, kStart);
+  wire::Update update;
+  update.set_packed_servers(PackRecordsAfter(this->packed, this->registry, 80,
+                                             kMost, kStart + Milliseconds(1500))
+                                .bytes);
+  CHECK(Unpack(update));
+  LONGS_EQUAL(500, update.servers(0).warmup_ms());
+}
+
+TEST(PackedContents, BytesOfAnotherWriterAreRefusedWhole) {
+  for (const std::string& bytes :
+       {std::string("c"), std::string("cxxxxxxxxxxxx"),
+        std::string("p\x0a\xff"), std::string("c\xff\xff\xff\xff")}) {
+    wire::Update update;
+    update.set_packed_routes(PackRoutesSince(this->packed, this->history, 0));
+    update.set_packed_servers(bytes);
+    CHECK_FALSE(Unpack(update));
+    CHECK_FALSE(update.has_routes());
+    LONGS_EQUAL(0, update.servers_size());
+  }
+}
