Fleet: Answer as many followers as the loop has time for

Change: the bound rises by one each turn that begins when it is due, up to 32, and is halved when one begins 4 ms late. 400 records in a batch, not 200.

--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -13,7 +13,7 @@
 constexpr Milliseconds kPushTime{1};
 constexpr Milliseconds kSubscriberTimeout{3000};
 /// Backend servers in one update; a receiver that lacks more asks again.
-constexpr std::size_t kMostRecords = 200;
+constexpr std::size_t kMostRecords = 400;
 /// A receiver that is being sent many records asks for the next within this
 /// time.
 constexpr Milliseconds kNextBatchTime{150};
--- a/Source/Fleet/FollowerQueue.cc
+++ b/Source/Fleet/FollowerQueue.cc
@@ -1,21 +1,35 @@
 #include "Fleet/FollowerQueue.h"
 
+#include <algorithm>
+
 namespace filbertwall {
 namespace {
 
 constexpr Milliseconds kTurn{5};
-/// Brief answers in one turn.
-constexpr std::uint32_t kTurnBudget = 4;
+constexpr std::uint32_t kLeastBudget = 4;
+constexpr std::uint32_t kMostBudget = 32;
+/// A turn that begins this much later than it was due shows a busy loop.
+constexpr Milliseconds kLate{4};
 /// Contents take as long as so many brief answers.
 constexpr std::uint32_t kContentsCost = 2;
 
+void BeginTurn(FollowerQueue& queue, TimePoint now) {
+  queue.turn_ends_at = now + kTurn;
+  queue.spent = 0;
+}
+
+void AdaptBudget(FollowerQueue& queue, TimePoint now) {
+  const bool late = now - queue.turn_ends_at > kLate;
+  queue.budget = late ? std::max(kLeastBudget, queue.budget / 2)
+                      : std::min(kMostBudget, queue.budget + 1);
+}
+
 }  // namespace
 
 void Enqueue(FollowerQueue& queue, const FollowerQuestion& question,
              TimePoint now) {
-  if (now >= queue.turn_ends_at) {
-    queue.turn_ends_at = now + kTurn;
-    queue.spent = 0;
+  if (queue.order.empty() && now >= queue.turn_ends_at) {
+    BeginTurn(queue, now);
   }
   const auto [position, added] = queue.waiting.try_emplace(question.from);
   if (added) {
@@ -34,10 +48,10 @@
     return std::nullopt;
   }
   if (now >= queue.turn_ends_at) {
-    queue.turn_ends_at = now + kTurn;
-    queue.spent = 0;
+    AdaptBudget(queue, now);
+    BeginTurn(queue, now);
   }
-  if (queue.spent >= kTurnBudget) {
+  if (queue.spent >= queue.budget) {
     return std::nullopt;
   }
   FollowerQuestion question{.from = queue.order.front()};
--- a/Source/Fleet/FollowerQueue.h
+++ b/Source/Fleet/FollowerQueue.h
@@ -12,9 +12,10 @@
 /// Load that it answers: hundreds of instances start at once and ask, again and
 /// again, while the control instances elect a leader. Answers are bounded in
 /// each short turn, so that agreement, reports of servers and the operator come
-/// in between; and a question replaces the last one of the same instance, so
-/// that what is asked again does not make the queue longer. Plain state; not
-/// thread safe.
+/// in between. The bound rises while turns begin when they are due, and is
+/// halved when one begins late, since the loop then had no time. A question
+/// replaces the last one of the same instance, so that what is asked again does
+/// not make the queue longer. Plain state; not thread safe.
 namespace filbertwall {
 
 /// A question of one instance.
@@ -27,6 +28,7 @@
   std::deque<InstanceAddress> order;
   std::map<InstanceAddress, wire::Subscribe> waiting;
   TimePoint turn_ends_at;
+  std::uint32_t budget = 4;    ///< Brief answers in one turn.
   std::uint32_t spent = 0;     ///< Of this turn's budget.
   std::uint64_t replaced = 0;  ///< Questions that were asked again in vain.
 };
--- a/Tests/Fleet/FollowerQueueTest.cc
+++ b/Tests/Fleet/FollowerQueueTest.cc
@@ -48,6 +48,28 @@
   CHECK(TakeNext(this->queue, next).has_value());
 }
 
+TEST(FollowerQueue, ABusyLoopAnswersFewerThanAnIdleOne) {
+  const auto answered_after = [](Milliseconds lateness) {
+    FollowerQueue queue;
+    InstanceAddress from = 1;
+    TimePoint now = kStart;
+    int answered = 0;
+    for (int turn = 0; turn < 40; ++turn) {
+      for (int i = 0; i < 50; ++i) {
+        Enqueue(queue, Ask(from++, true), now);
+      }
+      answered = 0;
+      while (TakeNext(queue, now)) {
+        answered += 1;
+      }
+      now = NextDue(queue) + lateness;
+    }
+    return answered;
+  };
+  CHECK(answered_after(Milliseconds(0)) >= 16);
+  CHECK(answered_after(Milliseconds(10)) <= 4);
+}
+
 TEST(FollowerQueue, WhoWaitedLongestComesFirst) {
   Enqueue(this->queue, Ask(1, true), kStart);
   Enqueue(this->queue, Ask(2, true), kStart);
