Forwarding: Count flows out of the service that they were counted into

Cause: read before landing: a flow that ends after its server has come back under another service was taken from that service's number in flight, and stayed in the old one's for ever; look-ups there could then be refused without a queue. Change: a flow keeps the service of its start. Test: FlowsAreCountedOutWhereTheyWereCountedIn, red before (1 in flight).

--- a/Bench/OverloadBench.cc
+++ b/Bench/OverloadBench.cc
@@ -43,10 +43,8 @@
 }
 
 }  // namespace
-}  // namespace filbertwall
 
-int main() {
-  using namespace filbertwall;
+int PrintAll() {
   std::printf(
       "policy\tsituation\tinstances\tload\tin time of possible\tlate\trefused\t"
       "shed\torders in time\trefused when calm\n");
@@ -80,3 +78,7 @@
   }
   return 0;
 }
+
+}  // namespace filbertwall
+
+int main() { return filbertwall::PrintAll(); }
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -35,11 +35,13 @@
   }
   const TimePoint expires_at = now + route.timeout + kExpiryMargin;
   const TimePoint due_at = std::min(now + LateAfter(route), expires_at);
-  forwarder.flows[packet.key] = OpenFlow{.server = server,
-                                         .opened_at = now,
-                                         .due_at = due_at,
-                                         .expires_at = expires_at,
-                                         .objective = route.objective};
+  forwarder.flows[packet.key] =
+      OpenFlow{.server = server,
+               .service = forwarder.placement.servers[server].service,
+               .opened_at = now,
+               .due_at = due_at,
+               .expires_at = expires_at,
+               .objective = route.objective};
   forwarder.expiries.emplace(due_at, packet.key);
   NoteOpening(forwarder.placement.servers[server], now);
 }
@@ -61,8 +63,7 @@
 /// A flow that its server had accepted is no longer in flight there.
 void NoteGone(Forwarder& forwarder, const OpenFlow& flow) {
   if (flow.answered && !flow.overdue) {
-    NoteLeft(forwarder.admission,
-             forwarder.placement.servers[flow.server].service);
+    NoteLeft(forwarder.admission, flow.service);
   }
 }
 
@@ -146,8 +147,7 @@
     forwarder.first_answer.Add(
         std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
     NoteAnswered(forwarder.placement, flow.server, now);
-    NoteBegun(forwarder.admission,
-              forwarder.placement.servers[flow.server].service);
+    NoteBegun(forwarder.admission, flow.service);
   }
   NoteReceived(flow, packet.received);
   if (packet.closes || packet.aborts) {
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -53,6 +53,7 @@
 /// A flow that was opened through this instance and has not ended.
 struct OpenFlow {
   ServerIndex server = 0;
+  ServiceIndex service = 0;  ///< The server's, when the flow was opened.
   TimePoint opened_at;
   TimePoint due_at;  ///< Not ended by then, it counts as failed.
   TimePoint expires_at;
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -355,6 +355,23 @@
   CHECK(open(502).verdict == Verdict::kForward);
 }
 
+TEST(Forwarder, FlowsAreCountedOutWhereTheyWereCountedIn) {
+  const Decision opened = this->Decide(Opening(1));
+  const PlacedServer server = this->At(opened.server);
+  this->Decide(Later(1, server.token));
+  LONGS_EQUAL(1,
+              this->forwarder.admission.services.at(server.service).in_flight);
+  // The same server under another service, as after a restart.
+  wire::ServerRecord record = MakeRecord(server.id, 1, "catalogue");
+  record.set_incarnation(2);
+  UpdateServer(this->forwarder.placement, record, kStart);
+  FlowPacket last = Later(1, server.token);
+  last.closes = true;
+  this->Decide(last);
+  LONGS_EQUAL(0,
+              this->forwarder.admission.services.at(server.service).in_flight);
+}
+
 TEST(Forwarder, SharesAreKeptByWeight) {
   wire::RoutesUpdate update = MakeRoutes(0, 8, "proof");
   update.mutable_set(0)->mutable_shares(0)->set_weight(9);
