Review: flows go to a draining server while a core machine isn't heard

Cause: a core machine that receives heartbeats counts as fresh, though its server records are no longer updated.

Change: a script that cuts what one of three core machines sends to the others during a release.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../standins timeout -k 5 112 python3 case.py
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
