--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,74 +1,109 @@
-"""A liveness report that can't be read stops every later change of the config."""
+"""A config that was acknowledged is read back in an older state."""
+import http.client
 import json
-import socket
-import threading
+import os
+import signal
+import subprocess
+import sys
 import time
 
-from fleet import BEAT_S, CONFIG_APPLY_S, number_of, now, require, run_case
-
-WATCH_S = 12.0
-
-
-def report_of_another_writer(scene, core, sequence, born):
-    """Sends a report whose id holds bytes that are no text."""
-    fleet = scene.fleet
-    body = json.dumps({
-        "Service": "catalogue", "Address": "%s:%d" % (fleet.extra_hosts[30],
-                                                      fleet.packet_port),
-        "Zone": "zone-0", "Version": "v1", "ConcurrencyLimit": 3, "State": "ready",
-        "WarmupRemainingMs": 0, "Sequence": sequence, "born": born}).encode()
-    head = (b"POST /api/Instances.Heartbeat/i-\xff\xfe12 HTTP/1.1\r\nHost: control\r\n"
-            b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body))
-    answer = b""
-    try:
-        with socket.create_connection((core.host, fleet.call_port), 1.0) as sender:
-            sender.sendall(head + body)
-            answer = sender.recv(4096)
-    except OSError:
-        pass
-    scene.record.write("another writer sent a report with the id i-\\xff\\xfe12 to %s, "
-                       "got %r" % (core.host, answer.split(b"\r\n")[0]))
-
-
-def keep_reporting(scene):
-    """Reports as often as a server does, at one node after the other."""
-    sequence, born = 0, int(time.time() * 1000)
-    while scene.fleet.running:
-        core = scene.fleet.cores[sequence % len(scene.fleet.cores)]
-        sequence += 1
-        report_of_another_writer(scene, core, sequence, born)
-        time.sleep(BEAT_S)
+import fleet
+from fleet import CONFIG_APPLY_S, now, require, run_case, wait_for
 
+DARK_S = 2.5          # the core machines but one are without power
+LEADER_DARK_S = 3.5   # the machine that has acknowledged
+READ_S = 4.5          # the reads begin when the first machines are back
+LIMIT_S = 95.0
+MORE_ROUTES = 300     # the config grows by as many
 
-def case(scene, trouble):
-    scene.begin()
-    record, consumers = scene.record, scene.consumers
-    if trouble:
-        threading.Thread(target=keep_reporting, args=(scene,), daemon=True).start()
-    time.sleep(4 * BEAT_S)
-    # The new version drops one route.
-    kept = [scene.stock, scene.proofs]
-    status = scene.operator.submit(scene.document(20, kept))
+
+def leader_of(scene):
+    for core in scene.fleet.cores:
+        if scene.operator.read(core.host, hops=0)[0] == 200:
+            return core
+    return None
+
+
+def document(scene, version):
+    grown = [("idle-%d" % i, scene.fleet.net + ".41.1", 1000 + i, "safe", "proofs")
+             for i in range(MORE_ROUTES)]
+    return json.dumps(scene.document(version, scene.routes + grown)).encode()
+
+
+def start_readers(scene, cores):
+    readers = []
+    for core in cores:
+        path = scene.fleet.folder / ("reads-" + core.host)
+        program = os.path.join(os.path.dirname(fleet.__file__), "reader.py")
+        readers.append((core, path, subprocess.Popen(
+            [sys.executable, program, core.host, str(scene.fleet.call_port), str(path),
+             str(READ_S)])))
+    return readers
+
+
+def collect(readers):
+    reads = []
+    for core, path, process in readers:
+        process.wait()
+        for line in path.read_text().splitlines():
+            sent, status, version = line.split()
+            reads.append((float(sent), core.host, int(status), int(version)))
+    return sorted(reads)
+
+
+def play_round(scene, trouble, version):
+    record, cores = scene.record, scene.fleet.cores
+    require(wait_for(lambda: leader_of(scene), 20.0), "no leader")
+    time.sleep(1.0)
+    leader = leader_of(scene)
+    require(leader, "the leader changed")
+    others = [core for core in cores if core is not leader]
+    body = document(scene, version)
+    for core in cores:
+        core.wanted = not trouble
+    connection = http.client.HTTPConnection(leader.host, scene.fleet.call_port, timeout=1)
+    connection.request("POST", "/api/Config.Replace", body)
+    status = connection.getresponse().status
     acked = now()
-    require(status == 200, "version 20 was not acknowledged")
-    record.write("version 20, without the route %s:%d, was acknowledged" % scene.other[1:3])
-    time.sleep(WATCH_S)
-    consumers.running = False
-    dropped = (number_of(scene.other[1]), scene.other[2])
-    late = []
-    for server in scene.servers:
-        for ran_at, request, address in server.run_addresses:
-            sent_at = consumers.sent_at.get(request, 0.0)
-            if address == dropped and sent_at > acked + CONFIG_APPLY_S:
-                late.append((sent_at, ran_at, request, server))
-    for sent_at, ran_at, request, server in sorted(late, key=lambda item: item[0])[:10]:
-        record.write("request %s to the dropped route was sent %.3f s after the ack and "
-                     "run by %s" % (request, sent_at - acked, server.id))
-    record.write("requests %d, served %d, refused %d; sent to the dropped route later than "
-                 "%.0f s after the ack and run: %d" % (
-                     consumers.sent, consumers.served, consumers.refused, CONFIG_APPLY_S,
-                     len(late)))
-    return bool(late)
-
-
-run_case(case)
+    if trouble:
+        for core in others + [leader]:
+            core.signal(signal.SIGKILL)
+        for core in cores:
+            core.process.wait()
+    record.write("operator sent version %d to %s, got %d" % (version, leader.host, status))
+    require(status == 200, "the config was not acknowledged")
+    if trouble:
+        record.write("all core machines lost power as the ack arrived")
+        time.sleep(max(0.0, acked + DARK_S - now()))
+        for core in others:
+            core.start()
+        record.write("back: %s" % " ".join(core.host for core in others))
+    readers = start_readers(scene, cores)
+    if trouble:
+        time.sleep(max(0.0, acked + LEADER_DARK_S - now()))
+        leader.start()
+        record.write("back: %s" % leader.host)
+    reads = collect(readers)
+    answered = [read for read in reads if read[2] == 200]
+    older = [read for read in answered
+             if read[0] > acked + CONFIG_APPLY_S and read[3] < version]
+    record.write("reads %d, answered %d, answered with an older version %d" % (
+        len(reads), len(answered), len(older)))
+    for sent, host, _, found in older[:10]:
+        record.write("read sent to %s %.3f s after the ack of version %d was answered "
+                     "with 200 and version %d" % (host, sent - acked, version, found))
+    require(answered, "no read was answered")
+    return bool(older)
+
+
+def case(scene, trouble):
+    scene.begin(per_s=0)
+    version, ends = 20, now() + LIMIT_S
+    while now() < ends - 14.0:
+        version += 3
+        if play_round(scene, trouble, version):
+            return True
+    return False
+
+
+run_case(case, delay_s=0.0014)
