--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """A liveness report that can't be read stops every later change of the config."""
 import json
+import os
 import socket
 import threading
 import time
@@ -13,7 +14,7 @@
     """Sends a report whose id holds bytes that are no text."""
     fleet = scene.fleet
     body = json.dumps({
-        "Service": "catalogue", "Address": "%s:%d" % (fleet.extra_hosts[30],
+        "Service": "salon", "Address": "%s:%d" % (fleet.extra_hosts[30],
                                                       fleet.packet_port),
         "Zone": "zone-0", "Version": "v1", "ConcurrencyLimit": 3, "State": "ready",
         "WarmupRemainingMs": 0, "Sequence": sequence, "born": born}).encode()
@@ -71,4 +72,5 @@
     return bool(late)
 
 
-run_case(case)
+# TROUBLE=0 leaves the disruption out.
+run_case(case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,7 +25,7 @@
 
 
 def document(scene, version):
-    grown = [("idle-%d" % i, scene.fleet.net + ".41.1", 1000 + i, "safe", "proofs")
+    grown = [("idle-%d" % i, scene.fleet.net + ".41.1", 1000 + i, "safe", "videoteca")
              for i in range(MORE_ROUTES)]
     return json.dumps(scene.document(version, scene.routes + grown)).encode()
 
@@ -106,4 +106,5 @@
     return False
 
 
-run_case(case, delay_s=0.0014)
+# TROUBLE=0 leaves the disruption out.
+run_case(case, os.environ.get("TROUBLE", "1") != "0", delay_s=0.0014)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,11 @@
 """An invalid config ends the process that reads it."""
 import json
+import os
 import time
 
 from fleet import require, run_case
 
-COUNT, GAP_S, TRIES_S = 3, 1.0, 8.0
+COUNT, GAP_S, TRIES_S = 3, 1.0, 6.0
 ENDS_LIMIT = 3   # of one process in the day
 
 
@@ -12,8 +13,8 @@
     """A config that is cut short. With the disruption, the cut is in the middle of
     a letter of a name; without it, the same config is cut between two letters."""
     text = json.dumps(scene.document(version), ensure_ascii=False)
-    body = text.replace("route-stock", "каталог").encode()
-    letter = body.index("талог".encode())
+    body = text.replace("route-stock", "práctica").encode()
+    letter = body.index("áctica".encode())
     return body[:letter + 1] if trouble else body[:letter]
 
 
@@ -34,4 +35,5 @@
     return 2 * len(many) >= len(fleet.cores)
 
 
-run_case(case)
+# TROUBLE=0 leaves the disruption out.
+run_case(case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,5 @@
 """A core machine that hears but isn't heard keeps frontend machines on an old state."""
+import os
 import threading
 import time
 
@@ -34,7 +35,7 @@
                  if scene.operator.read(core.host, hops=0)[0] == 307]
     require(len(followers) == len(fleet.cores) - 1, "no leader")
     unheard = followers[0]
-    for service in ("catalogue", "proofs"):
+    for service in ("salon", "videoteca"):
         # Those that report to the machine that will not be heard come first: as
         # their later reports fail there, it would learn that they drain.
         old = sorted((server for server in scene.servers if server.service == service),
@@ -71,4 +72,5 @@
     return bool(broken)
 
 
-run_case(case, delay_s=0.0014, servers=(8, 6), zones=3)
+# TROUBLE=0 leaves the disruption out.
+run_case(case, os.environ.get("TROUBLE", "1") != "0", delay_s=0.0014, servers=(8, 6))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -151,7 +151,7 @@
 class Fleet:
     """The machines of a small deployment and the platform that runs them."""
 
-    def __init__(self, folder, record, cores=4, entries=8, zones=4,
+    def __init__(self, folder, record, cores=3, entries=6, zones=3,
                  proxy_delay_s=0.0):
         self.folder = pathlib.Path(folder)
         self.record = record
@@ -561,7 +561,7 @@
 
     ROUTES_VERSION = 10
 
-    def __init__(self, record, folder, delay_s=0.0, servers=(4, 2), zones=4):
+    def __init__(self, record, folder, delay_s=0.0, servers=(4, 2), zones=3):
         self.record = record
         self.fleet = Fleet(folder, record, cores=zones, entries=2 * zones, zones=zones,
                            proxy_delay_s=delay_s)
@@ -569,16 +569,16 @@
         self.lock = threading.Lock()
         self.operator = Operator(self.fleet)
         net = self.fleet.net
-        self.stock = ("route-stock", net + ".40.1", 443, "unsafe", "catalogue")
-        self.proofs = ("route-proofs", net + ".40.2", 443, "unsafe", "proofs")
-        self.other = ("route-other", net + ".40.3", 443, "unsafe", "catalogue")
+        self.stock = ("route-stock", net + ".40.1", 443, "unsafe", "salon")
+        self.proofs = ("route-proofs", net + ".40.2", 443, "unsafe", "videoteca")
+        self.other = ("route-other", net + ".40.3", 443, "unsafe", "salon")
         self.routes = [self.stock, self.proofs, self.other]
         self.server_counts = servers
         self.servers, self.consumers = [], None
 
     def document(self, version, routes=None):
         return self.operator.config(version, routes or self.routes,
-                                    ["catalogue", "proofs"])
+                                    ["salon", "videoteca"])
 
     def add_server(self, service):
         with self.lock:
@@ -593,7 +593,7 @@
                 "the first config was not acknowledged")
         if not per_s:
             return
-        for service, count in zip(("catalogue", "proofs"), self.server_counts):
+        for service, count in zip(("salon", "videoteca"), self.server_counts):
             for i in range(count):
                 self.add_server(service)
         time.sleep(2.5)
@@ -610,7 +610,7 @@
         self.fleet.stop()
 
 
-def run_case(case, delay_s=0.0, **options):
+def run_case(case, trouble, delay_s=0.0, **options):
     """Runs `case(scene, trouble)` in a temporary folder. It returns whether the
     rule was broken. Ends the program with 1, 0 or 2."""
     def stop(*_):
@@ -618,7 +618,6 @@
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     here = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(here / "record.txt")
     record.write("case %s, disruption %s" % (here.name, "on" if trouble else "off"))
