Shell: Say why a process ends and what it was handling

A process that ended by a signal, an exception or an error of the event library left nothing in its log, so the incident's hypotheses could not be told apart. Calls that are refused are counted by reason (filbertwall_refused_calls_total) and logged with their size and a bounded, printable excerpt.

EndReport.* and InputError.* pass.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -12,6 +12,7 @@
   kStopped = 1004,
   kSettingsRejected = 1005,
   kSettingsReloaded = 1006,
+  kEndedByItself = 1007,
   kLeaderElected = 2001,
   kLeadershipLost = 2002,
   kVotersChanged = 2003,
--- a/Source/Fleet/Calls.h
+++ b/Source/Fleet/Calls.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "Base/InputError.h"
 #include "Fleet/ControlInstance.h"
 #include "Forwarding/Forwarder.h"
 #include "Wire/wire.pb.h"
@@ -30,6 +31,7 @@
 /// A call that cannot be translated; the adapter itself answers it.
 struct MalformedCall {
   int status = 400;
+  InputError error = InputError::kNotReadable;
   std::string reason;
 };
 using FleetCall = std::variant<HealthCall, ReportCall, SubmitCall,
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -42,6 +42,12 @@
   AddCounter(samples, "malformed_messages_total",
              "Datagrams between instances that could not be read.",
              process.malformed_messages);
+  for (std::size_t i = 0; i < kInputErrorCount; ++i) {
+    const auto error = static_cast<InputError>(i);
+    AddCounter(samples, "refused_calls_total",
+               "Calls that could not be read or were invalid, by reason.",
+               process.refused_calls.Get(error), InputErrorName(error));
+  }
   AddCounter(samples, "message_bytes_sent_total",
              "Bytes sent to other instances, without transport headers.",
              process.message_bytes_sent);
--- a/Source/Fleet/Metrics.h
+++ b/Source/Fleet/Metrics.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Base/Histogram.h"
+#include "Base/InputError.h"
 #include "Fleet/ControlInstance.h"
 #include "Fleet/EntryInstance.h"
 
@@ -32,6 +33,7 @@
   std::uint64_t malformed_messages = 0;
   std::uint64_t malformed_packets = 0;
   std::uint64_t send_failures = 0;
+  InputErrorCounts refused_calls;
   std::uint64_t message_bytes_sent = 0;
   Histogram batch;  ///< Entry: from receipt of a packet batch to sending it on.
   Histogram sync;   ///< Control: duration of each durable write.
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -5,6 +5,7 @@
 
 #include "Fleet/ControlInstance.h"
 #include "Shell/ControlStore.h"
+#include "Shell/EndReport.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
 #include "Shell/FleetRuntime.h"
@@ -86,6 +87,7 @@
   HttpServer http;
   MetricsServer metrics;
   Histogram sync_time;
+  InputErrorCounts refused_calls;
   std::unique_ptr<ControlStore> store;
   ControlInstance instance;
   std::map<CallId, PendingCall> calls;
@@ -245,6 +247,8 @@
 }
 
 void ControlRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
+  const InputMark mark(InputKind::kCall,
+                       request.path.size() + request.body.size());
   const HttpCall http_call{
       .method = request.method, .path = request.path, .body = request.body};
   const auto [position, added] = this->calls.emplace(
@@ -272,10 +276,14 @@
 }
 
 void ControlRuntime::StartCall(CallId id, const MalformedCall& call) {
-  WriteLog(
-      {.id = EventId::kMalformedInput,
-       .severity = Severity::kWarning,
-       .text = "call=" + this->calls.at(id).request.path + " " + call.reason});
+  const HttpCall& request = this->calls.at(id).request;
+  this->refused_calls.Add(call.error);
+  WriteLog({.id = EventId::kMalformedInput,
+            .severity = Severity::kWarning,
+            .text = "call=" + Excerpt(request.path) +
+                    " error=" + InputErrorName(call.error) + " " + call.reason +
+                    " bytes=" + std::to_string(request.body.size()) +
+                    " body=\"" + Excerpt(request.body) + "\""});
   (*this)(AnswerCall{.call = id, .verdict = CallVerdict::kRefused});
 }
 
@@ -317,6 +325,7 @@
       this->instance,
       ProcessStatistics{.log_lines_lost = LogLinesLost(),
                         .malformed_messages = this->link.MalformedCount(),
+                        .refused_calls = this->refused_calls,
                         .message_bytes_sent = this->link.BytesSent(),
                         .sync = this->sync_time},
       FleetNow()));
--- a/Source/Shell/ControlStore.cc
+++ b/Source/Shell/ControlStore.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 
 #include "Base/Hash.h"
+#include "Shell/EndReport.h"
 
 namespace filbertwall {
 namespace {
@@ -115,6 +116,7 @@
 }
 
 StoreResult<LogContents> DecodeLog(const std::string& bytes) {
+  const InputMark mark(InputKind::kStoredFile, bytes.size());
   LogContents contents;
   const std::string_view view = bytes;
   std::size_t offset = 0;
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -1,6 +1,7 @@
 #include <random>
 
 #include "Fleet/EntryInstance.h"
+#include "Shell/EndReport.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
 #include "Shell/FleetRuntime.h"
@@ -175,6 +176,8 @@
 }
 
 void EntryRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
+  const InputMark mark(InputKind::kCall,
+                       request.path.size() + request.body.size());
   const HttpCall http_call{.method = request.method, .path = request.path};
   const FleetCall call = this->adapter.calls.read(http_call);
   const bool ready =
@@ -228,6 +231,7 @@
 
 void EntryRuntime::HandlePacket(const ReceivedDatagram& datagram,
                                 TimePoint now) {
+  const InputMark mark(InputKind::kPacket, datagram.bytes.size());
   const PacketCodec& codec = this->adapter.packets;
   FlowPacket packet;
   if (!codec.parse(datagram.bytes, packet)) {
--- a/Source/Shell/FleetLink.cc
+++ b/Source/Shell/FleetLink.cc
@@ -2,6 +2,8 @@
 
 #include <ctime>
 
+#include "Shell/EndReport.h"
+
 namespace filbertwall {
 
 TimePoint FleetNow() {
@@ -41,6 +43,7 @@
 
 void FleetLink::HandleBatch(std::span<const ReceivedDatagram> batch) {
   for (const ReceivedDatagram& datagram : batch) {
+    const InputMark mark(InputKind::kMessage, datagram.bytes.size());
     const std::string_view bytes(
         reinterpret_cast<const char*>(datagram.bytes.data()),
         datagram.bytes.size());
--- a/Source/Shell/FleetSettingsFile.cc
+++ b/Source/Shell/FleetSettingsFile.cc
@@ -1,6 +1,7 @@
 #include "Shell/FleetSettingsFile.h"
 
 #include "Shell/ControlStore.h"
+#include "Shell/EndReport.h"
 #include "Shell/Log.h"
 
 namespace filbertwall {
@@ -25,6 +26,7 @@
     return std::nullopt;
   }
   this->text = bytes.value();
+  const InputMark mark(InputKind::kSettings, this->text.size());
   ParsedSettings parsed = ParseSettings(this->text, this->path);
   if (parsed.findings.empty()) {
     return parsed.settings;
