--- /dev/null
+++ b/Tests/System/outside_input_test.py
@@ -0,0 +1,246 @@
+"""Checks that nothing that arrives from outside ends a process of a fleet or
+hides what is valid.
+
+Each test starts three control instances and one entry instance, sends them one
+kind of input that no well-behaved sender would, and then expects the same
+processes to run and to do their work.
+"""
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.parse
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "Soak"))
+import fleet_processes  # noqa: E402
+from deployment import wait_until  # noqa: E402
+from fleet_processes import (CALL_REAL_PORT, METRICS_PORT,  # noqa: E402
+                             PACKET_PORT, READY_PORT)
+
+START_LIMIT = 10.0       # seconds until a leader answers and packets are taken
+IN_FORCE_LIMIT = 3.0     # ConfigApplyMs of the platform's deployments
+END_DELAY = 0.5          # seconds in which a process that was harmed ends
+HEAD = struct.Struct("<IIIIIHHHBBI")
+SYN = 1
+
+
+class SmallFleet:
+    def __init__(self, folder, controls=3):
+        own = os.getpid()
+        network = "127.%d" % (224 + own % 30)
+        self.fleet = fleet_processes.Fleet(network, folder, own, controls, 1)
+        self.controls, self.entry = self.fleet.controls, self.fleet.entries[0]
+        self.version = 0
+
+    def start(self):
+        for process in self.fleet.processes():
+            process.start(first_start=True)
+        wait_until(self.leader, START_LIMIT, "a leader")
+        assert self.submit() == 200
+        for number in range(1, 4):
+            assert self.report("i-%08x" % number)[0] == 200
+        wait_until(self.is_ready, START_LIMIT, "the entry instance serves")
+        self.pids = [p.process.pid for p in self.fleet.processes()]
+
+    def call(self, host, method, path, body=None, timeout=2.0):
+        """Status and body; status 0 when nothing answers. Follows redirects."""
+        port = CALL_REAL_PORT
+        for _ in range(3):
+            try:
+                connection = http.client.HTTPConnection(host, port,
+                                                        timeout=timeout)
+                connection.request(method, path, body)
+                answer = connection.getresponse()
+                data = answer.read()
+                connection.close()
+            except (OSError, http.client.HTTPException):
+                return 0, b""
+            if answer.status != 307:
+                return answer.status, data
+            host = urllib.parse.urlparse(answer.getheader("Location")).hostname
+        return 0, b""
+
+    def document(self, version):
+        return {"Version": version, "Limits": {"IdleTimeoutMs": 15000},
+                "Routes": [{"Name": "práctica", "Hostname": "198.18.0.1",
+                            "PathPrefix": "/443/", "Type": "safe",
+                            "TimeoutMs": 1000, "Service": "alpha"}],
+                "Services": [{"Name": "alpha"}, {"Name": "beta"}]}
+
+    def submit(self, host=None):
+        """Submits the next version; returns the status."""
+        self.version += 1
+        return self.call(host or self.controls[0].host, "POST",
+                         "/api/Config.Replace",
+                         json.dumps(self.document(self.version)))[0]
+
+    def heartbeat(self, **changes):
+        beat = {"Service": "alpha", "Address": "127.0.0.9:9000", "Zone": "dc0",
+                "Version": "v1", "ConcurrencyLimit": 2, "State": "ready",
+                "WarmupRemainingMs": 0, "Sequence": 1, "born": 1775979203709}
+        beat.update(changes)
+        return {key: value for key, value in beat.items() if value is not None}
+
+    def report(self, server, host=None, **changes):
+        return self.call(host or self.controls[0].host, "POST",
+                         "/api/Instances.Heartbeat/" + server,
+                         json.dumps(self.heartbeat(**changes)))
+
+    def leader(self):
+        return [c for c in self.controls
+                if self.metric(c.host, "filbertwall_leader") == 1]
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection(self.entry.host, READY_PORT,
+                                                    timeout=0.5)
+            connection.request("GET", "/api/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def metric(self, host, name):
+        """Value of a metric without a label, or None."""
+        try:
+            connection = http.client.HTTPConnection(host, METRICS_PORT,
+                                                    timeout=0.5)
+            connection.request("GET", "/metrics")
+            text = connection.getresponse().read().decode()
+        except (OSError, http.client.HTTPException):
+            return None
+        found = re.search(r"(?m)^%s (\S+)" % name, text)
+        return float(found.group(1)) if found else None
+
+    def in_force(self):
+        return self.metric(self.entry.host, "filbertwall_rules_version")
+
+    def check(self):
+        """Fails unless every process is the one that was started, and a new
+        version gets into force."""
+        time.sleep(END_DELAY)
+        ended = {p.host: p.process.returncode for p in self.fleet.processes()
+                 if not p.alive()}
+        assert not ended, "processes ended by themselves: %s" % ended
+        assert self.pids == [p.process.pid for p in self.fleet.processes()]
+        wait_until(lambda: self.submit() == 200, 5.0, "a version is accepted")
+        wait_until(lambda: self.in_force() == self.version, IN_FORCE_LIMIT,
+                   lambda: "version %d in force: %s" % (self.version,
+                                                        self.in_force()))
+
+
+@contextlib.contextmanager
+def small_fleet(controls=3):
+    with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
+        small = SmallFleet(folder, controls)
+        try:
+            small.start()
+            yield small
+        finally:
+            small.fleet.stop()
+
+
+def config_cut_inside_a_letter_ends_no_control_instance():
+    with small_fleet() as small:
+        text = json.dumps(small.document(99), ensure_ascii=False).encode()
+        cut = text[:text.index("áctica".encode()) + 1]
+        windows = json.dumps(small.document(99),
+                             ensure_ascii=False).encode("cp1252")
+        for control in small.controls:
+            for body in (cut, windows):
+                status, _ = small.call(control.host, "POST",
+                                       "/api/Config.Replace", body)
+                assert status == 400, status
+        small.check()
+
+
+def deeply_nested_body_ends_no_control_instance():
+    with small_fleet() as small:
+        deep = "[" * 200000 + "]" * 200000
+        beat = json.dumps(small.heartbeat())[:-1] + ',"odd":' + deep + "}"
+        config = json.dumps(small.document(99))[:-1] + ',"odd":' + deep + "}"
+        for control in small.controls:
+            small.call(control.host, "POST", "/api/Instances.Heartbeat/i-09",
+                       beat)
+            small.call(control.host, "POST", "/api/Instances.Deregister/i-09",
+                       beat)
+            small.call(control.host, "POST", "/api/Config.Replace", config)
+        small.check()
+
+
+def report_id_that_is_no_text_hides_no_later_config():
+    with small_fleet() as small:
+        for control in small.controls:
+            for path in ("Heartbeat", "Deregister"):
+                with socket.create_connection((control.host,
+                                               CALL_REAL_PORT)) as connection:
+                    body = json.dumps(small.heartbeat()).encode()
+                    connection.sendall(
+                        b"POST /api/Instances.%s/i-\xff\xfe HTTP/1.1\r\n"
+                        b"Host: x\r\nContent-Length: %d\r\n\r\n%s" % (
+                            path.encode(), len(body), body))
+                    assert b" 400 " in connection.recv(4096)[:20]
+        small.check()
+
+
+def opening_packet_with_the_largest_count_ends_no_entry_instance():
+    with small_fleet() as small:
+        caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for count in (2**32 - 1, 2**31, 3, 4):
+            head = HEAD.pack(1, count, 0, 0x64400007, 0xC6120001, 40001, 443,
+                             0, SYN, 0, 0)
+            caller.sendto(head, (small.entry.host, PACKET_PORT))
+        small.check()
+
+
+def second_order_on_a_pending_connection_ends_no_control_instance():
+    with small_fleet() as small:
+        for _ in range(30):
+            small.version += 1
+            body = json.dumps(small.document(small.version)).encode()
+            order = (b"POST /api/Config.Replace HTTP/1.1\r\nHost: x\r\n"
+                     b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            for control in small.controls:
+                with socket.create_connection((control.host, CALL_REAL_PORT),
+                                              timeout=2) as connection:
+                    connection.sendall(order)
+                    time.sleep(0.0005)
+                    connection.sendall(order)
+                    connection.recv(4096)
+        small.check()
+
+
+def hangup_during_the_start_ends_no_process():
+    with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
+        settings = os.path.join(folder, "settings.ini")
+        os.mkfifo(settings)
+        process = subprocess.Popen([fleet_processes.BINARY, "fleet", settings])
+        try:
+            # The settings are open for writing once the process reads them.
+            wait_until(lambda: can_write(settings), 5.0, "settings are read")
+            process.send_signal(signal.SIGHUP)
+            time.sleep(END_DELAY)
+            assert process.poll() is None, process.returncode
+        finally:
+            process.kill()
+            process.wait()
+
+
+def can_write(fifo):
+    try:
+        os.set_blocking(os.open(fifo, os.O_WRONLY | os.O_NONBLOCK), True)
+        return True
+    except OSError:
+        return False
+
+
+if __name__ == "__main__":
+    globals()[sys.argv[1]]()
