--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -195,7 +195,7 @@
     with small_fleet() as small:
         caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for count in (2**32 - 1, 2**31, 3, 4):
-            head = HEAD.pack(1, count, 0, 0x64400007, 0xC6120001, 40001, 443,
+            head = HEAD.pack(1, count, 0, 0x7F000007, 0xC6120001, 40001, 443,
                              0, SYN, 0, 0)
             caller.sendto(head, (small.entry.host, PACKET_PORT))
         small.check()
