Registry: Refuse records that could not be sent on

Callers saw a report with the id i-\xff\xfe answered with 200; from then on no entry instance got a changed config. Cause: CheckServerRecord looked at the length of the id and the service only, so text that is not UTF-8, a data centre of any length, an unknown phase and numbers of any size went into the registry and from there into messages, which the receivers cannot parse.

The check now covers every field of a record, also of servers that are gone, with named limits. It guards what is reported, received from other instances and stored.

Evidence: of the new tests, RecordsThatCannotBeSentOnAreInvalid and RecordsOutOfRangeAreInvalid failed on the code before.

--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -6,9 +6,44 @@
 namespace filbertwall {
 namespace {
 
-constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::size_t kMaxNameBytes = 200;
 
+/// Returns whether a text in UTF-8 has a control character of ASCII or Latin-1.
+bool HasControlCharacters(std::string_view text) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  constexpr unsigned char kLatin1Lead = 0xC2;
+  constexpr unsigned char kLastLatin1Control = 0x9F;
+  unsigned char previous = 0;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (byte < kFirstPrintable || byte == kDelete ||
+        (previous == kLatin1Lead && byte <= kLastLatin1Control)) {
+      return true;
+    }
+    previous = byte;
+  }
+  return false;
+}
+
+/// Returns a description of the first error in the names of a record.
+std::string CheckNames(const wire::ServerRecord& record) {
+  const bool gone = record.phase() == wire::SERVER_GONE;
+  const auto valid = [](const std::string& name, bool optional) {
+    return (optional && name.empty()) || !CheckServerName(name);
+  };
+  if (!valid(record.id(), false)) {
+    return std::string("id: expected ") + kServerNameSyntax;
+  }
+  if (!valid(record.service(), gone)) {
+    return std::string("service: expected ") + kServerNameSyntax;
+  }
+  if (!valid(record.data_centre(), true)) {
+    return std::string("data centre: expected ") + kServerNameSyntax;
+  }
+  return "";
+}
+
 /// Returns whether `next` takes precedence over `known`.
 bool Supersedes(const wire::ServerRecord& next,
                 const wire::ServerRecord& known) {
@@ -52,21 +87,41 @@
 
 }  // namespace
 
-std::string CheckServerRecord(const wire::ServerRecord& record) {
-  if (record.id().empty() || record.id().size() > kMaxNameBytes) {
-    return "id: expected 1 to 200 bytes";
+std::optional<InputError> CheckServerName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameBytes) {
+    return InputError::kOutOfRange;
   }
-  if (record.phase() == wire::SERVER_GONE) {
-    return "";
+  if (!IsUtf8(text)) {
+    return InputError::kNotUtf8;
   }
-  if (record.service().empty() || record.service().size() > kMaxNameBytes) {
-    return "service: expected 1 to 200 bytes";
+  return HasControlCharacters(text) ? std::optional(InputError::kOutOfRange)
+                                    : std::nullopt;
+}
+
+std::string CheckServerRecord(const wire::ServerRecord& record) {
+  const bool gone = record.phase() == wire::SERVER_GONE;
+  std::string finding = CheckNames(record);
+  if (!finding.empty()) {
+    return finding;
   }
-  if (record.ip() == 0 || record.port() == 0 || record.port() > UINT16_MAX) {
+  if (!wire::ServerPhase_IsValid(record.phase())) {
+    return "phase: expected ready, draining or gone";
+  }
+  if (record.port() > UINT16_MAX ||
+      (!gone && (record.ip() == 0 || record.port() == 0))) {
     return "address: expected IP:port";
   }
-  if (record.slots() == 0 || record.slots() > kMaxSlots) {
-    return "slots: expected 1 to 100000";
+  if (record.slots() > kMaxServerSlots || (!gone && record.slots() == 0)) {
+    return "slots: expected 1 to " + std::to_string(kMaxServerSlots);
+  }
+  if (record.incarnation() > kMaxIncarnation) {
+    return "incarnation: expected at most " + std::to_string(kMaxIncarnation);
+  }
+  if (record.sequence() > kMaxSequence) {
+    return "sequence: expected at most " + std::to_string(kMaxSequence);
+  }
+  if (record.warmup_ms() > kMaxWarmup.count()) {
+    return "warm-up: expected at most 24 hours";
   }
   return "";
 }
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -2,10 +2,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Base/Endpoint.h"
+#include "Base/InputError.h"
 #include "Base/Time.h"
 #include "Wire/registry.pb.h"
 
@@ -18,6 +21,13 @@
 /// functions; not thread safe.
 namespace filbertwall {
 
+/// Limits on what a record holds.
+inline constexpr std::uint32_t kMaxServerSlots = 100000;
+inline constexpr Milliseconds kMaxWarmup{std::chrono::hours(24)};
+inline constexpr std::uint64_t kMaxSequence = INT64_MAX;
+/// 2100-01-01T00:00:00Z in Unix milliseconds.
+inline constexpr std::uint64_t kMaxIncarnation = 4102444800000;
+
 /// The latest incarnation of a backend server.
 struct Server {
   wire::ServerRecord record;
@@ -47,8 +57,17 @@
   bool complete = true;  ///< This is the last batch.
 };
 
+/// What CheckServerName() accepts, in words.
+inline constexpr char kServerNameSyntax[] =
+    "1 to 200 bytes of UTF-8 without control characters";
+
+/// Returns why a text cannot be the id, service or data centre of a server;
+/// nothing when it can.
+std::optional<InputError> CheckServerName(std::string_view text);
+
 /// Returns a description of the first error in a record; empty when the record
-/// is valid.
+/// is valid. A valid record can be sent to any instance. Its data centre may be
+/// empty; the record of a server that is gone needs an id only.
 std::string CheckServerRecord(const wire::ServerRecord& record);
 
 /// Merges a record. Returns whether a field has changed that other instances
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <random>
 
 #include "Registry/Registry.h"
@@ -26,6 +27,16 @@
   return record;
 }
 
+void SetId(wire::ServerRecord& record, const std::string& name) {
+  record.set_id(name);
+}
+void SetService(wire::ServerRecord& record, const std::string& name) {
+  record.set_service(name);
+}
+void SetDataCentre(wire::ServerRecord& record, const std::string& name) {
+  record.set_data_centre(name);
+}
+
 const wire::ServerRecord& CurrentRecord(const Registry& registry) {
   return registry.servers.at("i-1").record;
 }
@@ -140,6 +151,43 @@
   CHECK_FALSE(CheckServerRecord(record).empty());
 }
 
+TEST(Registry, RecordsThatCannotBeSentOnAreInvalid) {
+  for (const std::string& name :
+       {std::string("a\xff"), std::string("\xc3"), std::string("a\0b", 3),
+        std::string("a\nb"), std::string("\x7f"), std::string("\xc2\x85"),
+        std::string(201, 'x')}) {
+    for (const auto phase : {wire::SERVER_READY, wire::SERVER_GONE}) {
+      for (const auto set_name : {&SetId, &SetService, &SetDataCentre}) {
+        wire::ServerRecord record = MakeRecord(1, 1, phase);
+        set_name(record, name);
+        CHECK_FALSE(CheckServerRecord(record).empty());
+      }
+    }
+  }
+}
+
+TEST(Registry, RecordsOutOfRangeAreInvalid) {
+  const auto is_valid = [](auto change, wire::ServerPhase phase) {
+    wire::ServerRecord record = MakeRecord(1, 1, phase);
+    change(record);
+    return CheckServerRecord(record).empty();
+  };
+  for (const auto phase : {wire::SERVER_READY, wire::SERVER_GONE}) {
+    CHECK(is_valid([](wire::ServerRecord&) {}, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_port(65536); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_slots(100001); }, phase));
+    CHECK_FALSE(
+        is_valid([](auto& r) { r.set_incarnation(UINT64_MAX); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_sequence(UINT64_MAX); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_warmup_ms(UINT32_MAX); }, phase));
+  }
+  CHECK_FALSE(is_valid([](auto&) {}, static_cast<wire::ServerPhase>(3)));
+  wire::ServerRecord gone;
+  gone.set_id("i-1");
+  gone.set_phase(wire::SERVER_GONE);
+  CHECK(CheckServerRecord(gone).empty());
+}
+
 TEST(Registry, MergesReportsInAnyOrderToTheSameResult) {
   std::vector<wire::ServerRecord> records;
   for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
