Platform: Bound JSON from outside before it is built

Callers saw no answer, and the control instance was gone: a report, deregistration or config with 200,000 nested arrays in an unknown field ended it by signal 11, a config cut inside a letter with status 2. Causes: copying and writing a JSON document is recursive in the library, and the text of its exceptions quotes bytes that are not UTF-8, on which writing the answer throws.

Evidence: on the code before, ConfigCutInsideALetterIsAnswered and ReasonsThatAreNoTextCanBeAnswered ended the test program by signal 6; DeeplyNestedBodiesAreRejected, LargeReportsAreRejected, BodiesThatAreNoTextAreRejected, FieldsThatOccurTwiceAreRejected and DeeplyNestedAndLargeDocumentsAreRejected failed.

--- a/Tests/Platform/CallAdapterTest.cc
+++ b/Tests/Platform/CallAdapterTest.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "platform/CallAdapter.h"
 
@@ -21,6 +22,24 @@
           {"born", 1775979203709}};
 }
 
+/// Returns the text of a heartbeat in which `from` is replaced by `to`.
+std::string ReplaceInHeartbeat(const std::string& from, const std::string& to) {
+  std::string text = MakeHeartbeat().dump();
+  const std::size_t position = text.find(from);
+  CHECK(position != std::string::npos);
+  return text.replace(position, from.size(), to);
+}
+
+std::string Repeat(const std::string& text, int count) {
+  std::string result;
+  for (int i = 0; i < count; ++i) {
+    result += text;
+  }
+  return result;
+}
+
+bool HasBody(const wire::Answer& answer) { return Json::accept(answer.body()); }
+
 }  // namespace
 
 TEST_GROUP(CallAdapter) {
@@ -32,6 +51,25 @@
         HttpCall{.method = method, .path = path, .body = body});
   }
 
+  FleetCall ParseReport(const std::string& body) {
+    return this->ParseCall("POST", "/api/Instances.Heartbeat/i-7f", body);
+  }
+
+  FleetCall ParseDeregistration(const std::string& body) {
+    return this->ParseCall("POST", "/api/Instances.Deregister/i-7f", body);
+  }
+
+  /// Expects a call to be refused, and with an answer that can be sent.
+  void CheckRefused(const FleetCall& call, InputError error) {
+    CHECK(std::holds_alternative<MalformedCall>(call));
+    const MalformedCall& malformed = std::get<MalformedCall>(call);
+    STRCMP_EQUAL(InputErrorName(error), InputErrorName(malformed.error));
+    const wire::Answer answer = this->BuildAnswer("/", call, AnswerCall{});
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+    CHECK(answer.body().size() < 1000);
+  }
+
   wire::Answer BuildAnswer(const std::string& path, const FleetCall& call,
                            const AnswerCall& answer) {
     return this->translator.write(HttpCall{.method = "POST", .path = path},
@@ -76,6 +114,72 @@
       this->ParseCall("POST", "/api/Instances.Heartbeat/i-7f", "\xff{")));
 }
 
+TEST(CallAdapter, DeeplyNestedBodiesAreRejected) {
+  constexpr int kDepth = 200000;
+  for (const char* open : {"[", "{\"a\":"}) {
+    const std::string close = open[0] == '[' ? "]" : "}";
+    for (const std::string& deep :
+         {Repeat(open, 7000), Repeat(open, 1000) + "1" + Repeat(close, 1000),
+          Repeat(open, kDepth) + "1" + Repeat(close, kDepth)}) {
+      const std::string body =
+          ReplaceInHeartbeat(R"("v1")", R"("v1","odd":)" + deep);
+      for (const FleetCall& call :
+           {this->ParseReport(body), this->ParseDeregistration(body),
+            this->ParseReport(deep), this->ParseDeregistration(deep)}) {
+        CHECK(std::holds_alternative<MalformedCall>(call));
+        CHECK(HasBody(this->BuildAnswer("/", call, AnswerCall{})));
+      }
+    }
+  }
+  this->CheckRefused(this->ParseReport(Repeat("[", 1000) + Repeat("]", 1000)),
+                     InputError::kTooDeep);
+}
+
+TEST(CallAdapter, LargeReportsAreRejected) {
+  const std::string padding(16 * 1024, ' ');
+  this->CheckRefused(this->ParseReport(MakeHeartbeat().dump() + padding),
+                     InputError::kTooLarge);
+  this->CheckRefused(this->ParseDeregistration(padding + "{}"),
+                     InputError::kTooLarge);
+  this->CheckRefused(
+      this->ParseReport(ReplaceInHeartbeat(
+          R"("v1")", R"("v1","odd":[0)" + Repeat(",0", 1000) + "]")),
+      InputError::kTooLarge);
+}
+
+TEST(CallAdapter, BodiesThatAreNoTextAreRejected) {
+  for (const char* bytes :
+       {"\xff", "\xc3", "\xe1", "\xc0\x80", "\xed\xa0\x80"}) {
+    const std::string body =
+        ReplaceInHeartbeat("providence", std::string("a") + bytes);
+    this->CheckRefused(this->ParseReport(body), InputError::kNotUtf8);
+    this->CheckRefused(this->ParseDeregistration(body), InputError::kNotUtf8);
+  }
+  this->CheckRefused(
+      this->ParseReport(ReplaceInHeartbeat("providence", R"(\ud800)")),
+      InputError::kNotReadable);
+  this->CheckRefused(
+      this->ParseReport(MakeHeartbeat().dump() + std::string("\0x", 2)),
+      InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport(MakeHeartbeat().dump() + "x"),
+                     InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport(""), InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport("[]"), InputError::kWrongType);
+}
+
+TEST(CallAdapter, FieldsThatOccurTwiceAreRejected) {
+  this->CheckRefused(this->ParseReport(ReplaceInHeartbeat(
+                         R"("v1")", R"("v1","State":"draining")")),
+                     InputError::kContradicts);
+}
+
+TEST(CallAdapter, UnknownFieldsAndAByteOrderMarkAreIgnored) {
+  CHECK(std::holds_alternative<ReportCall>(this->ParseReport(ReplaceInHeartbeat(
+      R"("v1")", R"("v1","odd":[{"a":[null,1.5,"x",{}]},[],"pr\u00e1"])"))));
+  CHECK(std::holds_alternative<ReportCall>(
+      this->ParseReport("\xef\xbb\xbf" + MakeHeartbeat().dump())));
+}
+
 TEST(CallAdapter, DeregistrationNeedsNoBody) {
   const FleetCall call =
       this->ParseCall("POST", "/api/Instances.Deregister/i-7f");
@@ -114,3 +218,27 @@
   const FleetCall unknown = this->ParseCall("GET", "/nothing");
   LONGS_EQUAL(404, this->BuildAnswer("/", unknown, AnswerCall{}).status());
 }
+
+TEST(CallAdapter, ReasonsThatAreNoTextCanBeAnswered) {
+  const std::string reason = "odd \xff\xfe\xc3";
+  const AnswerCall refused{.verdict = CallVerdict::kRefused, .reason = reason};
+  for (const FleetCall& call :
+       {FleetCall(ReportCall{}), FleetCall(SubmitCall{}),
+        FleetCall(ReadRulesCall{}),
+        FleetCall(MalformedCall{.reason = reason})}) {
+    const wire::Answer answer = this->BuildAnswer("/", call, refused);
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+  }
+}
+
+TEST(CallAdapter, ConfigCutInsideALetterIsAnswered) {
+  const std::string config = R"({"Version":1,"Routes":[{"Name":"práctica"}]})";
+  for (std::size_t length = 0; length < config.size(); ++length) {
+    const FleetCall call = this->ParseCall("POST", "/api/Config.Replace",
+                                           config.substr(0, length));
+    const wire::Answer answer = this->BuildAnswer("/", call, AnswerCall{});
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+  }
+}
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -44,6 +44,11 @@
   return document;
 }
 
+std::string ErrorName(const std::string& json) {
+  const DocumentResult file = ReadDocument(json);
+  return file ? "" : InputErrorName(file.error().error);
+}
+
 bool IsRejected(const Json& document) {
   return !ReadDocument(document.dump()).has_value();
 }
@@ -131,3 +136,21 @@
     CHECK_FALSE(ReadDocument(text).has_value());
   }
 }
+
+TEST(ConfigDocument, DeeplyNestedAndLargeDocumentsAreRejected) {
+  constexpr int kDepth = 200000;
+  std::string deep;
+  for (const char bracket : {'[', ']'}) {
+    deep += std::string(kDepth, bracket);
+  }
+  const std::string start = R"({"Version":1,"Routes":[],"Services":[],"odd":)";
+  STRCMP_EQUAL("too_deep", ErrorName(start + deep + "}").c_str());
+  std::string many = "[0";
+  for (int i = 0; i < 2 * kDepth; ++i) {
+    many += ",0";
+  }
+  STRCMP_EQUAL("too_large", ErrorName(start + many + "]}").c_str());
+  const std::string long_text(4UL * 1024 * 1024, 'x');
+  STRCMP_EQUAL("too_large",
+               ErrorName(start + "\"" + long_text + "\"}").c_str());
+}
