--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -44,6 +44,14 @@
   return document;
 }
 
+/// Returns a rules file with the lines of a stored file.
+wire::RulesFile MakeStoredFile(const std::string& lines) {
+  wire::RulesFile file;
+  file.set_version(3);
+  file.set_text("version 3 # by: x\n" + lines);
+  return file;
+}
+
 std::string ErrorName(const std::string& json) {
   const DocumentResult file = ReadDocument(json);
   return file ? "" : InputErrorName(file.error().error);
@@ -154,3 +162,38 @@
   STRCMP_EQUAL("too_large",
                ErrorName(start + "\"" + long_text + "\"}").c_str());
 }
+
+TEST(ConfigDocument, NamesOfAnyTextAreKept) {
+  for (const std::string& name :
+       {std::string("práctica"), std::string("a=b,c#d e%2"),
+        std::string("tab\there\nand\0nul", 16), std::string("%zz%"),
+        std::string("%41")}) {
+    Json document = MakeDocument();
+    document["Services"][0]["Name"] = name;
+    document["Routes"][0]["Service"] = name;
+    document["Routes"][1]["Backends"][0]["Service"] = name;
+    document["Routes"][0]["Name"] = name;
+    const DocumentResult file = ReadDocument(document.dump());
+    CHECK(file.has_value());
+    LONGS_EQUAL(0, ParseRules(file.value().text(), "rules").findings.size());
+    const Json round_trip = Json::parse(WriteDocument(file.value()));
+    STRCMP_EQUAL(SortLists(document).dump().c_str(),
+                 SortLists(round_trip).dump().c_str());
+  }
+}
+
+TEST(ConfigDocument, StoredTextThatCannotBeDecodedIsWritten) {
+  for (const char* word : {"%zz", "%", "%4", "%4x", "%-1", "% 1", "%FF%FE",
+                           "\xff\xfe", "%ED%A0%80"}) {
+    const std::string name = word;
+    const wire::RulesFile file =
+        MakeStoredFile("service " + name + " protocol=packets health=" + name +
+                       " # by: x\naddress 198.18.0.1:80 " + name +
+                       "=3 name=" + name + " # by: x\n");
+    CHECK(Json::accept(WriteDocument(file)));
+  }
+  for (const char* text :
+       {"", "address", "address 1.1.1.1:1 =,=,", "bounds x"}) {
+    CHECK(Json::accept(WriteDocument(MakeStoredFile(text))));
+  }
+}
