Platform: Refuse configs with a field of another type

A config whose Limits was a string, a number, an array or null was acknowledged, and Tls of another type was taken as false. A route with Backends was not asked for its Service, so that it could name an unknown one; a NUL cut Hostname short. Cause: fields were looked up one by one, and a lookup in a value that is no object finds nothing.

WrongTypesAtTheTopAreRejected replaces WrongTypesNeverThrowAndVersionIsChecked, which expected a refusal for Version only.

--- a/Source/Base/Endpoint.cc
+++ b/Source/Base/Endpoint.cc
@@ -14,7 +14,8 @@
   const auto port = ParseNumber(text.substr(colon + 1), 1, UINT16_MAX);
   in_addr address{};
   const std::string ip(text.substr(0, colon));
-  if (!port || inet_pton(AF_INET, ip.c_str(), &address) != 1) {
+  const bool has_nul = ip.find('\0') != std::string::npos;
+  if (!port || has_nul || inet_pton(AF_INET, ip.c_str(), &address) != 1) {
     return std::nullopt;
   }
   return Endpoint{.ip = ntohl(address.s_addr),
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -127,17 +127,15 @@
   CHECK(IsRejected(document));
 }
 
-TEST(ConfigDocument, WrongTypesNeverThrowAndVersionIsChecked) {
+TEST(ConfigDocument, WrongTypesAtTheTopAreRejected) {
   const Json valid_document = MakeDocument();
   for (const auto& [key, value] : valid_document.items()) {
     for (const Json& wrong_value :
-         {Json(nullptr), Json("x"), Json(-3), Json(1.5), Json::array({1}),
-          Json::object({{"a", 1}})}) {
+         {Json(nullptr), Json("x"), Json(-3), Json(1.5), Json(true),
+          Json::array({1}), Json::object({{"MaxBodyBytes", "a"}})}) {
       Json document = valid_document;
       document[key] = wrong_value;
-      const bool accepted = ReadDocument(document.dump()).has_value();
-      const bool accepted_version = key == "Version" && accepted;
-      CHECK_FALSE(accepted_version);
+      CHECK(IsRejected(document));
     }
   }
   for (const char* text : {"", "[]", "7", "null", "{\"Version\":"}) {
@@ -145,6 +143,64 @@
   }
 }
 
+TEST(ConfigDocument, WrongTypesInRoutesServicesAndLimitsAreRejected) {
+  for (const char* path : {"/Routes/0", "/Routes/1", "/Routes/1/Backends/0",
+                           "/Services/0", "/Services/1", "/Limits"}) {
+    const Json::json_pointer place(path);
+    const Json valid_object = MakeDocument().at(place);
+    for (const auto& [key, value] : valid_object.items()) {
+      for (const Json& wrong_value :
+           {Json(nullptr), Json(""), Json(-1), Json(1.5), Json(1e300),
+            Json(18446744073709551615U), Json::array(), Json::object(),
+            value.is_string() ? Json(1) : Json("1")}) {
+        Json document = MakeDocument();
+        document[place / key] = wrong_value;
+        CHECK(IsRejected(document));
+      }
+    }
+  }
+}
+
+TEST(ConfigDocument, ElementsThatAreNoObjectsAreRejected) {
+  for (const char* path :
+       {"/Routes/0", "/Services/0", "/Routes/1/Backends/0"}) {
+    for (const Json& wrong_value :
+         {Json(nullptr), Json("orders"), Json(1), Json::array()}) {
+      Json document = MakeDocument();
+      document[Json::json_pointer(path)] = wrong_value;
+      CHECK(IsRejected(document));
+    }
+  }
+}
+
+TEST(ConfigDocument, FieldsThatMayBeMissingMayBeMissing) {
+  Json document = MakeDocument();
+  document.erase("Limits");
+  for (const char* key :
+       {"Name", "Type", "TargetLatencyMs", "Priority", "MaxAttempts"}) {
+    document["Routes"][0].erase(key);
+  }
+  for (const char* key : {"HealthCheckPath", "MaxFlows", "Protocol", "Tls"}) {
+    document["Services"][0].erase(key);
+  }
+  CHECK_FALSE(IsRejected(document));
+  document["odd"] = {{"a", {1.5, nullptr}}};
+  document["Limits"] = Json::object();
+  CHECK_FALSE(IsRejected(document));
+}
+
+TEST(ConfigDocument, RouteThatNamesAServiceBesideItsSharesIsRejected) {
+  Json document = MakeDocument();
+  document["Routes"][1]["Service"] = "nobody";
+  CHECK(IsRejected(document));
+}
+
+TEST(ConfigDocument, HostnameWithANulIsRejected) {
+  Json document = MakeDocument();
+  document["Routes"][0]["Hostname"] = std::string("198.18.0.9\0x", 12);
+  CHECK(IsRejected(document));
+}
+
 TEST(ConfigDocument, DeeplyNestedAndLargeDocumentsAreRejected) {
   constexpr int kDepth = 200000;
   std::string deep;
@@ -163,6 +219,22 @@
                ErrorName(start + "\"" + long_text + "\"}").c_str());
 }
 
+TEST(ConfigDocument, ErrorsAreTextAndBounded) {
+  Json document = MakeDocument();
+  document["Routes"][0]["Service"] = std::string(100000, 'x');
+  const DocumentResult unknown = ReadDocument(document.dump());
+  STRCMP_EQUAL("Routes[0].Service: expected one of Services",
+               unknown.error().reason.c_str());
+  const DocumentResult cut = ReadDocument("{\"Version\":1,\"Name\":\"\xc3");
+  STRCMP_EQUAL("not_utf8", InputErrorName(cut.error().error));
+  CHECK(IsUtf8(cut.error().reason));
+  const DocumentResult twice =
+      ReadDocument("{\"" + std::string(100000, 'x') + "\":1,\"" +
+                   std::string(100000, 'x') + "\":1}");
+  STRCMP_EQUAL("contradicts", InputErrorName(twice.error().error));
+  CHECK(twice.error().reason.size() < 300);
+}
+
 TEST(ConfigDocument, NamesOfAnyTextAreKept) {
   for (const std::string& name :
        {std::string("práctica"), std::string("a=b,c#d e%2"),
