Platform: Accept only reports that have every field

One report of another writer under a server's id, with Zone, Version and WarmupRemainingMs missing and Sequence as text, was acknowledged and replaced the server's own reports: requests of one service were run by a server of another. Cause: a field that was missing or of another type became 0 or an empty text.

A report must now have each field that the page names, of its type and in range; born may be missing, and is else a whole number up to the year 2100. Ids of reports and deregistrations are checked alike. An empty body of a deregistration stays accepted; any other must be an object. The soak's servers report a Version now.

WrongTypesInReportsAreRejected replaces WrongTypesInRequiredFieldsAreRejected, which expected a refusal for three of the nine fields.

--- a/Tests/Platform/CallAdapterTest.cc
+++ b/Tests/Platform/CallAdapterTest.cc
@@ -92,26 +92,122 @@
   CHECK_EQUAL(wire::SERVER_READY, record.phase());
 }
 
-TEST(CallAdapter, WrongTypesInRequiredFieldsAreRejected) {
+TEST(CallAdapter, TheExampleOfTheDocumentationIsAReport) {
+  const FleetCall call = this->ParseReport(
+      R"({"Service":"huvo11a","Address":"10.128.0.9:8080",)"
+      R"("Zone":"providence","Version":"v1","ConcurrencyLimit":2,)"
+      R"("State":"ready","WarmupRemainingMs":0,"Sequence":4})");
+  CHECK_EQUAL(0, std::get<ReportCall>(call).record.incarnation());
+}
+
+TEST(CallAdapter, WrongTypesInReportsAreRejected) {
   const Json valid_heartbeat = MakeHeartbeat();
   for (const auto& [key, unused] : valid_heartbeat.items()) {
     for (const Json& wrong_value :
-         {Json(nullptr), Json(-1), Json("?"), Json(1e300), Json::array(),
-          Json::object()}) {
+         {Json(nullptr), Json(-1), Json(""), Json(1e300), Json(1.5), Json(true),
+          Json::array(), Json::object()}) {
       Json heartbeat = MakeHeartbeat();
       heartbeat[key] = wrong_value;
-      const FleetCall call = this->ParseCall(
-          "POST", "/api/Instances.Heartbeat/i-7f", heartbeat.dump());
-      const bool is_valid_report =
-          std::holds_alternative<ReportCall>(call) &&
-          CheckServerRecord(std::get<ReportCall>(call).record).empty();
-      const bool required =
-          key == "Address" || key == "State" || key == "ConcurrencyLimit";
-      CHECK_FALSE(required && is_valid_report);
+      CHECK(std::holds_alternative<MalformedCall>(
+          this->ParseReport(heartbeat.dump())));
+    }
+  }
+  CHECK(std::holds_alternative<MalformedCall>(this->ParseReport("\xff{")));
+}
+
+TEST(CallAdapter, NumbersAsTextInReportsAreRejected) {
+  for (const char* key :
+       {"ConcurrencyLimit", "WarmupRemainingMs", "Sequence", "born"}) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat[key] = "1";
+    this->CheckRefused(this->ParseReport(heartbeat.dump()),
+                       InputError::kWrongType);
+  }
+}
+
+TEST(CallAdapter, ReportsWithAMissingFieldAreRejected) {
+  const Json valid_heartbeat = MakeHeartbeat();
+  for (const auto& [key, unused] : valid_heartbeat.items()) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat.erase(key);
+    const FleetCall call = this->ParseReport(heartbeat.dump());
+    if (key == "born") {
+      CHECK(std::holds_alternative<ReportCall>(call));
+      continue;
     }
+    this->CheckRefused(call, InputError::kMissingField);
+    STRCMP_CONTAINS(key.c_str(), std::get<MalformedCall>(call).reason.c_str());
+  }
+}
+
+TEST(CallAdapter, NumbersOutOfRangeInReportsAreRejected) {
+  const std::vector<std::pair<std::string, std::string>> wrong_numbers = {
+      {"ConcurrencyLimit", "0"},
+      {"ConcurrencyLimit", "100001"},
+      {"ConcurrencyLimit", "4294967297"},
+      {"WarmupRemainingMs", "86400001"},
+      {"Sequence", "9223372036854775808"},
+      {"Sequence", "18446744073709551616"},
+      {"born", "0"},
+      {"born", "4102444800001"},
+      {"born", "18446744073709551615"},
+      {"born", "18446744073709551616"},
+      {"born", "1e400"},
+      {"born", "-1"},
+      {"born", "1775979203709.0"}};
+  for (const auto& [key, number] : wrong_numbers) {
+    const std::string old = "\"" + key + "\":" + MakeHeartbeat()[key].dump();
+    const std::string body =
+        ReplaceInHeartbeat(old, "\"" + key + "\":" + number);
+    CHECK(std::holds_alternative<MalformedCall>(this->ParseReport(body)));
+  }
+}
+
+TEST(CallAdapter, NamesAndAddressesOutOfRangeInReportsAreRejected) {
+  const std::vector<std::pair<std::string, Json>> wrong_texts = {
+      {"Service", std::string(201, 'x')},
+      {"Service", "a\nb"},
+      {"Zone", std::string(201, 'x')},
+      {"Zone", std::string("a\0b", 3)},
+      {"Zone", "a\x7f"},
+      {"Zone", "a\u0085"},
+      {"Version", std::string(201, 'x')},
+      {"State", "gone"},
+      {"State", "?"},
+      {"Address", "?"},
+      {"State", "Ready"},
+      {"Address", "10.128.0.9:0"},
+      {"Address", "10.128.0.9:65536"},
+      {"Address", "10.128.0.9"},
+      {"Address", "0.0.0.0:80"},
+      {"Address", "[::1]:80"},
+      {"Address", "localhost:80"},
+      {"Address", "10.128.0.256:80"},
+      {"Address", std::string("10.128.0.9\0x:80", 15)}};
+  for (const auto& [key, text] : wrong_texts) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat[key] = text;
+    this->CheckRefused(this->ParseReport(heartbeat.dump()),
+                       InputError::kOutOfRange);
+  }
+}
+
+TEST(CallAdapter, IdsThatCannotBeSentOnAreRejected) {
+  for (const char* call : {"Heartbeat/", "Deregister/"}) {
+    const std::string path = std::string("/api/Instances.") + call;
+    const std::string body = MakeHeartbeat().dump();
+    this->CheckRefused(this->ParseCall("POST", path, body),
+                       InputError::kOutOfRange);
+    this->CheckRefused(this->ParseCall("POST", path + "i-\xff\xfe", body),
+                       InputError::kNotUtf8);
+    this->CheckRefused(
+        this->ParseCall("POST", path + std::string(201, 'i'), body),
+        InputError::kOutOfRange);
+    this->CheckRefused(this->ParseCall("POST", path + "i\x01", body),
+                       InputError::kOutOfRange);
+    CHECK(std::holds_alternative<ReportCall>(
+        this->ParseCall("POST", path + std::string(200, 'i'), body)));
   }
-  CHECK(std::holds_alternative<MalformedCall>(
-      this->ParseCall("POST", "/api/Instances.Heartbeat/i-7f", "\xff{")));
 }
 
 TEST(CallAdapter, DeeplyNestedBodiesAreRejected) {
@@ -188,6 +284,19 @@
   CHECK_EQUAL(0, record.incarnation());
 }
 
+TEST(CallAdapter, DeregistrationWithABodyIsChecked) {
+  const FleetCall call = this->ParseDeregistration(R"({"born":1775979203709})");
+  CHECK_EQUAL(1775979203709, std::get<ReportCall>(call).record.incarnation());
+  CHECK(std::holds_alternative<ReportCall>(this->ParseDeregistration("{}")));
+  for (const char* body :
+       {"null", "[]", "7", "x", " ", "{", R"({"born":"1"})", R"({"born":-1})",
+        R"({"born":null})", R"({"born":1.5})", R"({"born":1e400})",
+        R"({"born":18446744073709551615})", R"({"born":1,"born":2})"}) {
+    CHECK(
+        std::holds_alternative<MalformedCall>(this->ParseDeregistration(body)));
+  }
+}
+
 TEST(CallAdapter, HeartbeatAnswerHasTheNextEndpoint) {
   const wire::Answer answer =
       this->BuildAnswer("/", ReportCall{},
--- a/Tests/Soak/fleet_traffic.py
+++ b/Tests/Soak/fleet_traffic.py
@@ -83,8 +83,9 @@
         state = self.state
         body = {"Service": self.service, "ConcurrencyLimit": 4,
                 "Address": "%s:%d" % (self.host, self.port),
-                "Zone": "dc0", "State": state, "WarmupRemainingMs": 0,
-                "Sequence": self.sequence, "born": self.born}
+                "Zone": "dc0", "Version": "v1", "State": state,
+                "WarmupRemainingMs": 0, "Sequence": self.sequence,
+                "born": self.born}
         host = self.endpoint or random.choice(self.traffic.fleet.controls).host
         status, data = call(host, CALL_PORT, "POST",
                             "/api/Instances.Heartbeat/" + self.id, body)
