Fleet: Refuse reports that contradict a server's own

A complete report of another writer with the same id and born and a higher Sequence, but another service or address, replaced the server's own: its flows would have gone to a server of another service. Within one start of a server its service, address and data centre do not change, so FindContradiction compares them with the known record of the same incarnation; such a report is answered with 400 and counted as contradicts.

--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Base/Histogram.h"
+#include "Base/InputError.h"
 #include "Control/Replica.h"
 #include "Distribution/PackedContents.h"
 #include "Distribution/RouteHistory.h"
@@ -69,6 +70,8 @@
 struct ControlCounters {
   std::uint64_t reports = 0;
   std::uint64_t reports_unconfirmed = 0;
+  /// Reports that could be read, but are invalid or contradict others.
+  InputErrorCounts refused_reports;
   std::uint64_t submissions = 0;
   std::uint64_t elections_won = 0;
 };
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -35,7 +35,9 @@
   return std::chrono::duration<double>(to - from).count();
 }
 
-void AddProcessMetrics(Samples& samples, const ProcessStatistics& process) {
+/// `refused_reports` are the calls that the reducer refused as invalid.
+void AddProcessMetrics(Samples& samples, const ProcessStatistics& process,
+                       const InputErrorCounts& refused_reports = {}) {
   AddCounter(samples, "log_lines_lost_total",
              "Log lines that a slow reader did not take.",
              process.log_lines_lost);
@@ -46,7 +48,8 @@
     const auto error = static_cast<InputError>(i);
     AddCounter(samples, "refused_calls_total",
                "Calls that could not be read or were invalid, by reason.",
-               process.refused_calls.Get(error), InputErrorName(error));
+               process.refused_calls.Get(error) + refused_reports.Get(error),
+               InputErrorName(error));
   }
   AddCounter(samples, "message_bytes_sent_total",
              "Bytes sent to other instances, without transport headers.",
@@ -153,7 +156,7 @@
                                          const ProcessStatistics& process,
                                          TimePoint now) {
   Samples samples;
-  AddProcessMetrics(samples, process);
+  AddProcessMetrics(samples, process, instance.counters.refused_reports);
   AddServerMetrics(samples, instance.registry);
   const Replica& replica = instance.replica;
   AddGauge(samples, "leader", "1 when this instance leads with a lease.",
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -11,6 +11,29 @@
 /// instance has confirmed the record, or fails after this time.
 constexpr Milliseconds kConfirmTimeout{500};
 
+/// Answers a report that is invalid, or that contradicts others of the same
+/// server. Returns whether it did.
+bool RefuseReport(ControlContext& context, const ServerReported& event) {
+  InputError error = InputError::kOutOfRange;
+  std::string finding = CheckServerRecord(event.record);
+  if (finding.empty() && event.record.phase() != wire::SERVER_GONE) {
+    error = InputError::kContradicts;
+    finding = FindContradiction(context.instance.registry, event.record);
+  }
+  if (finding.empty()) {
+    return false;
+  }
+  context.instance.counters.refused_reports.Add(error);
+  Log(context, EventId::kAnnouncementRejected,
+      "server=" + Excerpt(event.record.id()) +
+          " error=" + InputErrorName(error) + " " + finding,
+      Severity::kWarning);
+  Answer(context, AnswerCall{.call = event.call,
+                             .verdict = CallVerdict::kRefused,
+                             .reason = finding});
+  return true;
+}
+
 }  // namespace
 
 void AnswerPendingReports(ControlContext& context) {
@@ -60,13 +83,7 @@
 void HandleReport(ControlContext& context, const ServerReported& event) {
   ControlInstance& instance = context.instance;
   instance.counters.reports += 1;
-  const std::string finding = CheckServerRecord(event.record);
-  if (!finding.empty()) {
-    Log(context, EventId::kAnnouncementRejected,
-        "server=" + event.record.id() + " " + finding, Severity::kWarning);
-    Answer(context, AnswerCall{.call = event.call,
-                               .verdict = CallVerdict::kRefused,
-                               .reason = finding});
+  if (RefuseReport(context, event)) {
     return;
   }
   wire::ServerRecord record = event.record;
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -126,6 +126,30 @@
   return "";
 }
 
+std::string FindContradiction(const Registry& registry,
+                              const wire::ServerRecord& record) {
+  const auto known = registry.servers.find(record.id());
+  if (known == registry.servers.end()) {
+    return "";
+  }
+  const wire::ServerRecord& other = known->second.record;
+  const bool comparable =
+      other.incarnation() == record.incarnation() && other.ip() != 0;
+  if (!comparable) {
+    return "";
+  }
+  if (other.service() != record.service()) {
+    return "service: expected that of the server's other reports";
+  }
+  if (other.ip() != record.ip() || other.port() != record.port()) {
+    return "address: expected that of the server's other reports";
+  }
+  if (other.data_centre() != record.data_centre()) {
+    return "data centre: expected that of the server's other reports";
+  }
+  return "";
+}
+
 bool MergeServerRecord(Registry& registry, const wire::ServerRecord& record,
                        TimePoint now) {
   const auto [position, added] = registry.servers.try_emplace(record.id());
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -70,6 +70,13 @@
 /// empty; the record of a server that is gone needs an id only.
 std::string CheckServerRecord(const wire::ServerRecord& record);
 
+/// Returns how a record contradicts the known one of the same incarnation;
+/// empty when it does not. Within an incarnation, the service, address and data
+/// centre of a server do not change. Precondition: `record` is valid and not
+/// `SERVER_GONE`.
+std::string FindContradiction(const Registry& registry,
+                              const wire::ServerRecord& record);
+
 /// Merges a record. Returns whether a field has changed that other instances
 /// must know. If not, at most `heard_at` and the sequence number are updated.
 /// Precondition: `CheckServerRecord` returns an empty string.
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -292,6 +292,25 @@
   }
 }
 
+TEST(Fleet, ReportThatContradictsAServersOwnReplacesNothing) {
+  Report(this->world, 1, "a1", 1);
+  ServerReported other{.call = 902};
+  other.record = this->world.controls.at(1).registry.servers.at("a1").record;
+  other.record.set_service("another");
+  other.record.set_sequence(99);
+  Apply(this->world, 1, ControlInstanceEvent(other));
+  const ControlInstance& instance = this->world.controls.at(1);
+  CHECK(CallVerdict::kRefused == this->world.answers.at(902).verdict);
+  STRCMP_EQUAL("proof",
+               instance.registry.servers.at("a1").record.service().c_str());
+  CHECK_EQUAL(1,
+              instance.counters.refused_reports.Get(InputError::kContradicts));
+  other.record.set_incarnation(2);
+  other.call = 903;
+  Apply(this->world, 1, ControlInstanceEvent(other));
+  CHECK(CallVerdict::kAccepted == this->world.answers.at(903).verdict);
+}
+
 TEST(Fleet, OpeningPacketsQueuedDuringAStallAreDropped) {
   EntryInstance& entry = this->world.entries.at(kFirstEntry);
   const FlowPacket opening{.key = {.caller = {.ip = 7, .port = 1},
