--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 200;
+/// A service is named by a word of the rules, with three bytes for one.
+constexpr std::size_t kMaxServiceBytes = 3 * kMaxNameBytes;
 
 /// Returns whether a text in UTF-8 has a control character of ASCII or Latin-1.
 bool HasControlCharacters(std::string_view text) {
@@ -26,19 +28,31 @@
   return false;
 }
 
+std::optional<InputError> CheckName(std::string_view text,
+                                    std::size_t max_bytes) {
+  if (text.empty() || text.size() > max_bytes) {
+    return InputError::kOutOfRange;
+  }
+  if (!IsUtf8(text)) {
+    return InputError::kNotUtf8;
+  }
+  return HasControlCharacters(text) ? std::optional(InputError::kOutOfRange)
+                                    : std::nullopt;
+}
+
 /// Returns a description of the first error in the names of a record.
 std::string CheckNames(const wire::ServerRecord& record) {
   const bool gone = record.phase() == wire::SERVER_GONE;
-  const auto valid = [](const std::string& name, bool optional) {
-    return (optional && name.empty()) || !CheckServerName(name);
-  };
-  if (!valid(record.id(), false)) {
+  if (CheckServerName(record.id())) {
     return std::string("id: expected ") + kServerNameSyntax;
   }
-  if (!valid(record.service(), gone)) {
-    return std::string("service: expected ") + kServerNameSyntax;
+  if (record.service().empty()
+          ? !gone
+          : CheckName(record.service(), kMaxServiceBytes).has_value()) {
+    return "service: expected 1 to 600 bytes of UTF-8 without control "
+           "characters";
   }
-  if (!valid(record.data_centre(), true)) {
+  if (!record.data_centre().empty() && CheckServerName(record.data_centre())) {
     return std::string("data centre: expected ") + kServerNameSyntax;
   }
   return "";
@@ -88,14 +102,7 @@
 }  // namespace
 
 std::optional<InputError> CheckServerName(std::string_view text) {
-  if (text.empty() || text.size() > kMaxNameBytes) {
-    return InputError::kOutOfRange;
-  }
-  if (!IsUtf8(text)) {
-    return InputError::kNotUtf8;
-  }
-  return HasControlCharacters(text) ? std::optional(InputError::kOutOfRange)
-                                    : std::nullopt;
+  return CheckName(text, kMaxNameBytes);
 }
 
 std::string CheckServerRecord(const wire::ServerRecord& record) {
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -61,13 +61,14 @@
 inline constexpr char kServerNameSyntax[] =
     "1 to 200 bytes of UTF-8 without control characters";
 
-/// Returns why a text cannot be the id, service or data centre of a server;
-/// nothing when it can.
+/// Returns why a text cannot be the id or data centre of a server, or the name
+/// of a service; nothing when it can.
 std::optional<InputError> CheckServerName(std::string_view text);
 
 /// Returns a description of the first error in a record; empty when the record
-/// is valid. A valid record can be sent to any instance. Its data centre may be
-/// empty; the record of a server that is gone needs an id only.
+/// is valid. A valid record can be sent to any instance. Its service is a word
+/// of the rules file, of up to 600 bytes. Its data centre may be empty; the
+/// record of a server that is gone needs an id only.
 std::string CheckServerRecord(const wire::ServerRecord& record);
 
 /// Returns how a record contradicts the known one of the same incarnation;
--- a/Tests/Platform/CallAdapterTest.cc
+++ b/Tests/Platform/CallAdapterTest.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "Rules/RulesParser.h"
 #include "platform/CallAdapter.h"
 
 #include <CppUTest/TestHarness.h>
@@ -100,6 +101,27 @@
   CHECK_EQUAL(0, std::get<ReportCall>(call).record.incarnation());
 }
 
+TEST(CallAdapter, ReportsNameTheServiceAsRoutesDo) {
+  for (const std::string& name :
+       {std::string("orders"), std::string("práctica #1"),
+        std::string(200, '=')}) {
+    const Json config = {{"Version", 1},
+                         {"Services", {{{"Name", name}}}},
+                         {"Routes", Json::array()}};
+    const FleetCall submitted =
+        this->ParseCall("POST", "/api/Config.Replace", config.dump());
+    const Rules rules =
+        ParseRules(std::get<SubmitCall>(submitted).file.text(), "rules").rules;
+    Json heartbeat = MakeHeartbeat();
+    heartbeat["Service"] = name;
+    const FleetCall reported = this->ParseReport(heartbeat.dump());
+    const wire::ServerRecord& record = std::get<ReportCall>(reported).record;
+    STRCMP_EQUAL(rules.services.begin()->first.c_str(),
+                 record.service().c_str());
+    CHECK(CheckServerRecord(record).empty());
+  }
+}
+
 TEST(CallAdapter, WrongTypesInReportsAreRejected) {
   const Json valid_heartbeat = MakeHeartbeat();
   for (const auto& [key, unused] : valid_heartbeat.items()) {
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -155,7 +155,7 @@
   for (const std::string& name :
        {std::string("a\xff"), std::string("\xc3"), std::string("a\0b", 3),
         std::string("a\nb"), std::string("\x7f"), std::string("\xc2\x85"),
-        std::string(201, 'x')}) {
+        std::string(601, 'x')}) {
     for (const auto phase : {wire::SERVER_READY, wire::SERVER_GONE}) {
       for (const auto set_name : {&SetId, &SetService, &SetDataCentre}) {
         wire::ServerRecord record = MakeRecord(1, 1, phase);
@@ -166,6 +166,20 @@
   }
 }
 
+TEST(Registry, LongNamesAreInvalid) {
+  constexpr std::size_t kLongestName = 200;
+  wire::ServerRecord record = MakeRecord(1, 1);
+  record.set_id(std::string(kLongestName, 'x'));
+  record.set_data_centre(std::string(kLongestName, 'x'));
+  record.set_service(std::string(3 * kLongestName, 'x'));
+  CHECK(CheckServerRecord(record).empty());
+  for (const auto set_name : {&SetId, &SetDataCentre}) {
+    wire::ServerRecord longer = record;
+    set_name(longer, std::string(kLongestName + 1, 'x'));
+    CHECK_FALSE(CheckServerRecord(longer).empty());
+  }
+}
+
 TEST(Registry, RecordsOutOfRangeAreInvalid) {
   const auto is_valid = [](auto change, wire::ServerPhase phase) {
     wire::ServerRecord record = MakeRecord(1, 1, phase);
