--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -6,8 +6,57 @@
 namespace filbertwall {
 namespace {
 
-constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::size_t kMaxNameBytes = 200;
+/// A service is named by a word of the rules, with three bytes for one.
+constexpr std::size_t kMaxServiceBytes = 3 * kMaxNameBytes;
+
+/// Returns whether a text in UTF-8 has a control character of ASCII or Latin-1.
+bool HasControlCharacters(std::string_view text) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  constexpr unsigned char kLatin1Lead = 0xC2;
+  constexpr unsigned char kLastLatin1Control = 0x9F;
+  unsigned char previous = 0;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (byte < kFirstPrintable || byte == kDelete ||
+        (previous == kLatin1Lead && byte <= kLastLatin1Control)) {
+      return true;
+    }
+    previous = byte;
+  }
+  return false;
+}
+
+std::optional<InputError> CheckName(std::string_view text,
+                                    std::size_t max_bytes) {
+  if (text.empty() || text.size() > max_bytes) {
+    return InputError::kOutOfRange;
+  }
+  if (!IsUtf8(text)) {
+    return InputError::kNotUtf8;
+  }
+  return HasControlCharacters(text) ? std::optional(InputError::kOutOfRange)
+                                    : std::nullopt;
+}
+
+/// Returns a description of the first error in the names of a record.
+std::string CheckNames(const wire::ServerRecord& record) {
+  const bool gone = record.phase() == wire::SERVER_GONE;
+  if (CheckServerName(record.id())) {
+    return std::string("id: expected ") + kServerNameSyntax;
+  }
+  if (record.service().empty()
+          ? !gone
+          : CheckName(record.service(), kMaxServiceBytes).has_value()) {
+    return "service: expected 1 to 600 bytes of UTF-8 without control "
+           "characters";
+  }
+  if (!record.data_centre().empty() && CheckServerName(record.data_centre())) {
+    return std::string("data centre: expected ") + kServerNameSyntax;
+  }
+  return "";
+}
 
 /// Returns whether `next` takes precedence over `known`.
 bool Supersedes(const wire::ServerRecord& next,
@@ -52,21 +101,58 @@
 
 }  // namespace
 
+std::optional<InputError> CheckServerName(std::string_view text) {
+  return CheckName(text, kMaxNameBytes);
+}
+
 std::string CheckServerRecord(const wire::ServerRecord& record) {
-  if (record.id().empty() || record.id().size() > kMaxNameBytes) {
-    return "id: expected 1 to 200 bytes";
+  const bool gone = record.phase() == wire::SERVER_GONE;
+  std::string finding = CheckNames(record);
+  if (!finding.empty()) {
+    return finding;
+  }
+  if (!wire::ServerPhase_IsValid(record.phase())) {
+    return "phase: expected ready, draining or gone";
+  }
+  if (record.port() > UINT16_MAX ||
+      (!gone && (record.ip() == 0 || record.port() == 0))) {
+    return "address: expected IP:port";
+  }
+  if (record.slots() > kMaxServerSlots || (!gone && record.slots() == 0)) {
+    return "slots: expected 1 to " + std::to_string(kMaxServerSlots);
+  }
+  if (record.incarnation() > kMaxIncarnation) {
+    return "incarnation: expected at most " + std::to_string(kMaxIncarnation);
+  }
+  if (record.sequence() > kMaxSequence) {
+    return "sequence: expected at most " + std::to_string(kMaxSequence);
+  }
+  if (record.warmup_ms() > kMaxWarmup.count()) {
+    return "warm-up: expected at most 24 hours";
   }
-  if (record.phase() == wire::SERVER_GONE) {
+  return "";
+}
+
+std::string FindContradiction(const Registry& registry,
+                              const wire::ServerRecord& record) {
+  const auto known = registry.servers.find(record.id());
+  if (known == registry.servers.end()) {
     return "";
   }
-  if (record.service().empty() || record.service().size() > kMaxNameBytes) {
-    return "service: expected 1 to 200 bytes";
+  const wire::ServerRecord& other = known->second.record;
+  const bool comparable =
+      other.incarnation() == record.incarnation() && other.ip() != 0;
+  if (!comparable) {
+    return "";
   }
-  if (record.ip() == 0 || record.port() == 0 || record.port() > UINT16_MAX) {
-    return "address: expected IP:port";
+  if (other.service() != record.service()) {
+    return "service: expected that of the server's other reports";
+  }
+  if (other.ip() != record.ip() || other.port() != record.port()) {
+    return "address: expected that of the server's other reports";
   }
-  if (record.slots() == 0 || record.slots() > kMaxSlots) {
-    return "slots: expected 1 to 100000";
+  if (other.data_centre() != record.data_centre()) {
+    return "data centre: expected that of the server's other reports";
   }
   return "";
 }
--- a/Tests/Platform/CallAdapterTest.cc
+++ b/Tests/Platform/CallAdapterTest.cc
@@ -1,6 +1,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
+#include "Rules/RulesParser.h"
 #include "platform/CallAdapter.h"
 
 #include <CppUTest/TestHarness.h>
@@ -21,6 +23,24 @@
           {"born", 1775979203709}};
 }
 
+/// Returns the text of a heartbeat in which `from` is replaced by `to`.
+std::string ReplaceInHeartbeat(const std::string& from, const std::string& to) {
+  std::string text = MakeHeartbeat().dump();
+  const std::size_t position = text.find(from);
+  CHECK(position != std::string::npos);
+  return text.replace(position, from.size(), to);
+}
+
+std::string Repeat(const std::string& text, int count) {
+  std::string result;
+  for (int i = 0; i < count; ++i) {
+    result += text;
+  }
+  return result;
+}
+
+bool HasBody(const wire::Answer& answer) { return Json::accept(answer.body()); }
+
 }  // namespace
 
 TEST_GROUP(CallAdapter) {
@@ -32,6 +52,25 @@
         HttpCall{.method = method, .path = path, .body = body});
   }
 
+  FleetCall ParseReport(const std::string& body) {
+    return this->ParseCall("POST", "/api/Instances.Heartbeat/i-7f", body);
+  }
+
+  FleetCall ParseDeregistration(const std::string& body) {
+    return this->ParseCall("POST", "/api/Instances.Deregister/i-7f", body);
+  }
+
+  /// Expects a call to be refused, and with an answer that can be sent.
+  void CheckRefused(const FleetCall& call, InputError error) {
+    CHECK(std::holds_alternative<MalformedCall>(call));
+    const MalformedCall& malformed = std::get<MalformedCall>(call);
+    STRCMP_EQUAL(InputErrorName(error), InputErrorName(malformed.error));
+    const wire::Answer answer = this->BuildAnswer("/", call, AnswerCall{});
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+    CHECK(answer.body().size() < 1000);
+  }
+
   wire::Answer BuildAnswer(const std::string& path, const FleetCall& call,
                            const AnswerCall& answer) {
     return this->translator.write(HttpCall{.method = "POST", .path = path},
@@ -54,26 +93,209 @@
   CHECK_EQUAL(wire::SERVER_READY, record.phase());
 }
 
-TEST(CallAdapter, WrongTypesInRequiredFieldsAreRejected) {
+TEST(CallAdapter, TheExampleOfTheDocumentationIsAReport) {
+  const FleetCall call = this->ParseReport(
+      R"({"Service":"huvo11a","Address":"10.128.0.9:8080",)"
+      R"("Zone":"providence","Version":"v1","ConcurrencyLimit":2,)"
+      R"("State":"ready","WarmupRemainingMs":0,"Sequence":4})");
+  CHECK_EQUAL(0, std::get<ReportCall>(call).record.incarnation());
+}
+
+TEST(CallAdapter, ReportsNameTheServiceAsRoutesDo) {
+  for (const std::string& name :
+       {std::string("orders"), std::string("práctica #1"),
+        std::string(200, '=')}) {
+    const Json config = {{"Version", 1},
+                         {"Services", {{{"Name", name}}}},
+                         {"Routes", Json::array()}};
+    const FleetCall submitted =
+        this->ParseCall("POST", "/api/Config.Replace", config.dump());
+    const Rules rules =
+        ParseRules(std::get<SubmitCall>(submitted).file.text(), "rules").rules;
+    Json heartbeat = MakeHeartbeat();
+    heartbeat["Service"] = name;
+    const FleetCall reported = this->ParseReport(heartbeat.dump());
+    const wire::ServerRecord& record = std::get<ReportCall>(reported).record;
+    STRCMP_EQUAL(rules.services.begin()->first.c_str(),
+                 record.service().c_str());
+    CHECK(CheckServerRecord(record).empty());
+  }
+}
+
+TEST(CallAdapter, WrongTypesInReportsAreRejected) {
   const Json valid_heartbeat = MakeHeartbeat();
   for (const auto& [key, unused] : valid_heartbeat.items()) {
     for (const Json& wrong_value :
-         {Json(nullptr), Json(-1), Json("?"), Json(1e300), Json::array(),
-          Json::object()}) {
+         {Json(nullptr), Json(-1), Json(""), Json(1e300), Json(1.5), Json(true),
+          Json::array(), Json::object()}) {
       Json heartbeat = MakeHeartbeat();
       heartbeat[key] = wrong_value;
-      const FleetCall call = this->ParseCall(
-          "POST", "/api/Instances.Heartbeat/i-7f", heartbeat.dump());
-      const bool is_valid_report =
-          std::holds_alternative<ReportCall>(call) &&
-          CheckServerRecord(std::get<ReportCall>(call).record).empty();
-      const bool required =
-          key == "Address" || key == "State" || key == "ConcurrencyLimit";
-      CHECK_FALSE(required && is_valid_report);
+      CHECK(std::holds_alternative<MalformedCall>(
+          this->ParseReport(heartbeat.dump())));
+    }
+  }
+  CHECK(std::holds_alternative<MalformedCall>(this->ParseReport("\xff{")));
+}
+
+TEST(CallAdapter, NumbersAsTextInReportsAreRejected) {
+  for (const char* key :
+       {"ConcurrencyLimit", "WarmupRemainingMs", "Sequence", "born"}) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat[key] = "1";
+    this->CheckRefused(this->ParseReport(heartbeat.dump()),
+                       InputError::kWrongType);
+  }
+}
+
+TEST(CallAdapter, ReportsWithAMissingFieldAreRejected) {
+  const Json valid_heartbeat = MakeHeartbeat();
+  for (const auto& [key, unused] : valid_heartbeat.items()) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat.erase(key);
+    const FleetCall call = this->ParseReport(heartbeat.dump());
+    if (key == "born") {
+      CHECK(std::holds_alternative<ReportCall>(call));
+      continue;
     }
+    this->CheckRefused(call, InputError::kMissingField);
+    STRCMP_CONTAINS(key.c_str(), std::get<MalformedCall>(call).reason.c_str());
+  }
+}
+
+TEST(CallAdapter, NumbersOutOfRangeInReportsAreRejected) {
+  const std::vector<std::pair<std::string, std::string>> wrong_numbers = {
+      {"ConcurrencyLimit", "0"},
+      {"ConcurrencyLimit", "100001"},
+      {"ConcurrencyLimit", "4294967297"},
+      {"WarmupRemainingMs", "86400001"},
+      {"Sequence", "9223372036854775808"},
+      {"Sequence", "18446744073709551616"},
+      {"born", "0"},
+      {"born", "4102444800001"},
+      {"born", "18446744073709551615"},
+      {"born", "18446744073709551616"},
+      {"born", "1e400"},
+      {"born", "-1"},
+      {"born", "1775979203709.0"}};
+  for (const auto& [key, number] : wrong_numbers) {
+    const std::string old = "\"" + key + "\":" + MakeHeartbeat()[key].dump();
+    const std::string body =
+        ReplaceInHeartbeat(old, "\"" + key + "\":" + number);
+    CHECK(std::holds_alternative<MalformedCall>(this->ParseReport(body)));
   }
-  CHECK(std::holds_alternative<MalformedCall>(
-      this->ParseCall("POST", "/api/Instances.Heartbeat/i-7f", "\xff{")));
+}
+
+TEST(CallAdapter, NamesAndAddressesOutOfRangeInReportsAreRejected) {
+  const std::vector<std::pair<std::string, Json>> wrong_texts = {
+      {"Service", std::string(201, 'x')},
+      {"Service", "a\nb"},
+      {"Zone", std::string(201, 'x')},
+      {"Zone", std::string("a\0b", 3)},
+      {"Zone", "a\x7f"},
+      {"Zone", "a\u0085"},
+      {"Version", std::string(201, 'x')},
+      {"State", "gone"},
+      {"State", "?"},
+      {"Address", "?"},
+      {"State", "Ready"},
+      {"Address", "10.128.0.9:0"},
+      {"Address", "10.128.0.9:65536"},
+      {"Address", "10.128.0.9"},
+      {"Address", "0.0.0.0:80"},
+      {"Address", "[::1]:80"},
+      {"Address", "localhost:80"},
+      {"Address", "10.128.0.256:80"},
+      {"Address", std::string("10.128.0.9\0x:80", 15)}};
+  for (const auto& [key, text] : wrong_texts) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat[key] = text;
+    this->CheckRefused(this->ParseReport(heartbeat.dump()),
+                       InputError::kOutOfRange);
+  }
+}
+
+TEST(CallAdapter, IdsThatCannotBeSentOnAreRejected) {
+  for (const char* call : {"Heartbeat/", "Deregister/"}) {
+    const std::string path = std::string("/api/Instances.") + call;
+    const std::string body = MakeHeartbeat().dump();
+    this->CheckRefused(this->ParseCall("POST", path, body),
+                       InputError::kOutOfRange);
+    this->CheckRefused(this->ParseCall("POST", path + "i-\xff\xfe", body),
+                       InputError::kNotUtf8);
+    this->CheckRefused(
+        this->ParseCall("POST", path + std::string(201, 'i'), body),
+        InputError::kOutOfRange);
+    this->CheckRefused(this->ParseCall("POST", path + "i\x01", body),
+                       InputError::kOutOfRange);
+    CHECK(std::holds_alternative<ReportCall>(
+        this->ParseCall("POST", path + std::string(200, 'i'), body)));
+  }
+}
+
+TEST(CallAdapter, DeeplyNestedBodiesAreRejected) {
+  constexpr int kDepth = 200000;
+  for (const char* open : {"[", "{\"a\":"}) {
+    const std::string close = open[0] == '[' ? "]" : "}";
+    for (const std::string& deep :
+         {Repeat(open, 7000), Repeat(open, 1000) + "1" + Repeat(close, 1000),
+          Repeat(open, kDepth) + "1" + Repeat(close, kDepth)}) {
+      const std::string body =
+          ReplaceInHeartbeat(R"("v1")", R"("v1","odd":)" + deep);
+      for (const FleetCall& call :
+           {this->ParseReport(body), this->ParseDeregistration(body),
+            this->ParseReport(deep), this->ParseDeregistration(deep)}) {
+        CHECK(std::holds_alternative<MalformedCall>(call));
+        CHECK(HasBody(this->BuildAnswer("/", call, AnswerCall{})));
+      }
+    }
+  }
+  this->CheckRefused(this->ParseReport(Repeat("[", 1000) + Repeat("]", 1000)),
+                     InputError::kTooDeep);
+}
+
+TEST(CallAdapter, LargeReportsAreRejected) {
+  const std::string padding(16 * 1024, ' ');
+  this->CheckRefused(this->ParseReport(MakeHeartbeat().dump() + padding),
+                     InputError::kTooLarge);
+  this->CheckRefused(this->ParseDeregistration(padding + "{}"),
+                     InputError::kTooLarge);
+  this->CheckRefused(
+      this->ParseReport(ReplaceInHeartbeat(
+          R"("v1")", R"("v1","odd":[0)" + Repeat(",0", 1000) + "]")),
+      InputError::kTooLarge);
+}
+
+TEST(CallAdapter, BodiesThatAreNoTextAreRejected) {
+  for (const char* bytes :
+       {"\xff", "\xc3", "\xe1", "\xc0\x80", "\xed\xa0\x80"}) {
+    const std::string body =
+        ReplaceInHeartbeat("providence", std::string("a") + bytes);
+    this->CheckRefused(this->ParseReport(body), InputError::kNotUtf8);
+    this->CheckRefused(this->ParseDeregistration(body), InputError::kNotUtf8);
+  }
+  this->CheckRefused(
+      this->ParseReport(ReplaceInHeartbeat("providence", R"(\ud800)")),
+      InputError::kNotReadable);
+  this->CheckRefused(
+      this->ParseReport(MakeHeartbeat().dump() + std::string("\0x", 2)),
+      InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport(MakeHeartbeat().dump() + "x"),
+                     InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport(""), InputError::kNotReadable);
+  this->CheckRefused(this->ParseReport("[]"), InputError::kWrongType);
+}
+
+TEST(CallAdapter, FieldsThatOccurTwiceAreRejected) {
+  this->CheckRefused(this->ParseReport(ReplaceInHeartbeat(
+                         R"("v1")", R"("v1","State":"draining")")),
+                     InputError::kContradicts);
+}
+
+TEST(CallAdapter, UnknownFieldsAndAByteOrderMarkAreIgnored) {
+  CHECK(std::holds_alternative<ReportCall>(this->ParseReport(ReplaceInHeartbeat(
+      R"("v1")", R"("v1","odd":[{"a":[null,1.5,"x",{}]},[],"pr\u00e1"])"))));
+  CHECK(std::holds_alternative<ReportCall>(
+      this->ParseReport("\xef\xbb\xbf" + MakeHeartbeat().dump())));
 }
 
 TEST(CallAdapter, DeregistrationNeedsNoBody) {
@@ -84,6 +306,19 @@
   CHECK_EQUAL(0, record.incarnation());
 }
 
+TEST(CallAdapter, DeregistrationWithABodyIsChecked) {
+  const FleetCall call = this->ParseDeregistration(R"({"born":1775979203709})");
+  CHECK_EQUAL(1775979203709, std::get<ReportCall>(call).record.incarnation());
+  CHECK(std::holds_alternative<ReportCall>(this->ParseDeregistration("{}")));
+  for (const char* body :
+       {"null", "[]", "7", "x", " ", "{", R"({"born":"1"})", R"({"born":-1})",
+        R"({"born":null})", R"({"born":1.5})", R"({"born":1e400})",
+        R"({"born":18446744073709551615})", R"({"born":1,"born":2})"}) {
+    CHECK(
+        std::holds_alternative<MalformedCall>(this->ParseDeregistration(body)));
+  }
+}
+
 TEST(CallAdapter, HeartbeatAnswerHasTheNextEndpoint) {
   const wire::Answer answer =
       this->BuildAnswer("/", ReportCall{},
@@ -114,3 +349,27 @@
   const FleetCall unknown = this->ParseCall("GET", "/nothing");
   LONGS_EQUAL(404, this->BuildAnswer("/", unknown, AnswerCall{}).status());
 }
+
+TEST(CallAdapter, ReasonsThatAreNoTextCanBeAnswered) {
+  const std::string reason = "odd \xff\xfe\xc3";
+  const AnswerCall refused{.verdict = CallVerdict::kRefused, .reason = reason};
+  for (const FleetCall& call :
+       {FleetCall(ReportCall{}), FleetCall(SubmitCall{}),
+        FleetCall(ReadRulesCall{}),
+        FleetCall(MalformedCall{.reason = reason})}) {
+    const wire::Answer answer = this->BuildAnswer("/", call, refused);
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+  }
+}
+
+TEST(CallAdapter, ConfigCutInsideALetterIsAnswered) {
+  const std::string config = R"({"Version":1,"Routes":[{"Name":"práctica"}]})";
+  for (std::size_t length = 0; length < config.size(); ++length) {
+    const FleetCall call = this->ParseCall("POST", "/api/Config.Replace",
+                                           config.substr(0, length));
+    const wire::Answer answer = this->BuildAnswer("/", call, AnswerCall{});
+    LONGS_EQUAL(400, answer.status());
+    CHECK(HasBody(answer));
+  }
+}
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -44,6 +44,19 @@
   return document;
 }
 
+/// Returns a rules file with the lines of a stored file.
+wire::RulesFile MakeStoredFile(const std::string& lines) {
+  wire::RulesFile file;
+  file.set_version(3);
+  file.set_text("version 3 # by: x\n" + lines);
+  return file;
+}
+
+std::string ErrorName(const std::string& json) {
+  const DocumentResult file = ReadDocument(json);
+  return file ? "" : InputErrorName(file.error().error);
+}
+
 bool IsRejected(const Json& document) {
   return !ReadDocument(document.dump()).has_value();
 }
@@ -114,20 +127,145 @@
   CHECK(IsRejected(document));
 }
 
-TEST(ConfigDocument, WrongTypesNeverThrowAndVersionIsChecked) {
+TEST(ConfigDocument, WrongTypesAtTheTopAreRejected) {
   const Json valid_document = MakeDocument();
   for (const auto& [key, value] : valid_document.items()) {
     for (const Json& wrong_value :
-         {Json(nullptr), Json("x"), Json(-3), Json(1.5), Json::array({1}),
-          Json::object({{"a", 1}})}) {
+         {Json(nullptr), Json("x"), Json(-3), Json(1.5), Json(true),
+          Json::array({1}), Json::object({{"MaxBodyBytes", "a"}})}) {
       Json document = valid_document;
       document[key] = wrong_value;
-      const bool accepted = ReadDocument(document.dump()).has_value();
-      const bool accepted_version = key == "Version" && accepted;
-      CHECK_FALSE(accepted_version);
+      CHECK(IsRejected(document));
     }
   }
   for (const char* text : {"", "[]", "7", "null", "{\"Version\":"}) {
     CHECK_FALSE(ReadDocument(text).has_value());
   }
 }
+
+TEST(ConfigDocument, WrongTypesInRoutesServicesAndLimitsAreRejected) {
+  for (const char* path : {"/Routes/0", "/Routes/1", "/Routes/1/Backends/0",
+                           "/Services/0", "/Services/1", "/Limits"}) {
+    const Json::json_pointer place(path);
+    const Json valid_object = MakeDocument().at(place);
+    for (const auto& [key, value] : valid_object.items()) {
+      for (const Json& wrong_value :
+           {Json(nullptr), Json(""), Json(-1), Json(1.5), Json(1e300),
+            Json(18446744073709551615U), Json::array(), Json::object(),
+            value.is_string() ? Json(1) : Json("1")}) {
+        Json document = MakeDocument();
+        document[place / key] = wrong_value;
+        CHECK(IsRejected(document));
+      }
+    }
+  }
+}
+
+TEST(ConfigDocument, ElementsThatAreNoObjectsAreRejected) {
+  for (const char* path :
+       {"/Routes/0", "/Services/0", "/Routes/1/Backends/0"}) {
+    for (const Json& wrong_value :
+         {Json(nullptr), Json("orders"), Json(1), Json::array()}) {
+      Json document = MakeDocument();
+      document[Json::json_pointer(path)] = wrong_value;
+      CHECK(IsRejected(document));
+    }
+  }
+}
+
+TEST(ConfigDocument, FieldsThatMayBeMissingMayBeMissing) {
+  Json document = MakeDocument();
+  document.erase("Limits");
+  for (const char* key :
+       {"Name", "Type", "TargetLatencyMs", "Priority", "MaxAttempts"}) {
+    document["Routes"][0].erase(key);
+  }
+  for (const char* key : {"HealthCheckPath", "MaxFlows", "Protocol", "Tls"}) {
+    document["Services"][0].erase(key);
+  }
+  CHECK_FALSE(IsRejected(document));
+  document["odd"] = {{"a", {1.5, nullptr}}};
+  document["Limits"] = Json::object();
+  CHECK_FALSE(IsRejected(document));
+}
+
+TEST(ConfigDocument, RouteThatNamesAServiceBesideItsSharesIsRejected) {
+  Json document = MakeDocument();
+  document["Routes"][1]["Service"] = "nobody";
+  CHECK(IsRejected(document));
+}
+
+TEST(ConfigDocument, HostnameWithANulIsRejected) {
+  Json document = MakeDocument();
+  document["Routes"][0]["Hostname"] = std::string("198.18.0.9\0x", 12);
+  CHECK(IsRejected(document));
+}
+
+TEST(ConfigDocument, DeeplyNestedAndLargeDocumentsAreRejected) {
+  constexpr int kDepth = 200000;
+  std::string deep;
+  for (const char bracket : {'[', ']'}) {
+    deep += std::string(kDepth, bracket);
+  }
+  const std::string start = R"({"Version":1,"Routes":[],"Services":[],"odd":)";
+  STRCMP_EQUAL("too_deep", ErrorName(start + deep + "}").c_str());
+  std::string many = "[0";
+  for (int i = 0; i < 2 * kDepth; ++i) {
+    many += ",0";
+  }
+  STRCMP_EQUAL("too_large", ErrorName(start + many + "]}").c_str());
+  const std::string long_text(4UL * 1024 * 1024, 'x');
+  STRCMP_EQUAL("too_large",
+               ErrorName(start + "\"" + long_text + "\"}").c_str());
+}
+
+TEST(ConfigDocument, ErrorsAreTextAndBounded) {
+  Json document = MakeDocument();
+  document["Routes"][0]["Service"] = std::string(100000, 'x');
+  const DocumentResult unknown = ReadDocument(document.dump());
+  STRCMP_EQUAL("Routes[0].Service: expected one of Services",
+               unknown.error().reason.c_str());
+  const DocumentResult cut = ReadDocument("{\"Version\":1,\"Name\":\"\xc3");
+  STRCMP_EQUAL("not_utf8", InputErrorName(cut.error().error));
+  CHECK(IsUtf8(cut.error().reason));
+  const DocumentResult twice =
+      ReadDocument("{\"" + std::string(100000, 'x') + "\":1,\"" +
+                   std::string(100000, 'x') + "\":1}");
+  STRCMP_EQUAL("contradicts", InputErrorName(twice.error().error));
+  CHECK(twice.error().reason.size() < 300);
+}
+
+TEST(ConfigDocument, NamesOfAnyTextAreKept) {
+  for (const std::string& name :
+       {std::string("práctica"), std::string("a=b,c#d e%2"),
+        std::string("tab\there\nand\0nul", 16), std::string("%zz%"),
+        std::string("%41")}) {
+    Json document = MakeDocument();
+    document["Services"][0]["Name"] = name;
+    document["Routes"][0]["Service"] = name;
+    document["Routes"][1]["Backends"][0]["Service"] = name;
+    document["Routes"][0]["Name"] = name;
+    const DocumentResult file = ReadDocument(document.dump());
+    CHECK(file.has_value());
+    LONGS_EQUAL(0, ParseRules(file.value().text(), "rules").findings.size());
+    const Json round_trip = Json::parse(WriteDocument(file.value()));
+    STRCMP_EQUAL(SortLists(document).dump().c_str(),
+                 SortLists(round_trip).dump().c_str());
+  }
+}
+
+TEST(ConfigDocument, StoredTextThatCannotBeDecodedIsWritten) {
+  for (const char* word : {"%zz", "%", "%4", "%4x", "%-1", "% 1", "%FF%FE",
+                           "\xff\xfe", "%ED%A0%80"}) {
+    const std::string name = word;
+    const wire::RulesFile file =
+        MakeStoredFile("service " + name + " protocol=packets health=" + name +
+                       " # by: x\naddress 198.18.0.1:80 " + name +
+                       "=3 name=" + name + " # by: x\n");
+    CHECK(Json::accept(WriteDocument(file)));
+  }
+  for (const char* text :
+       {"", "address", "address 1.1.1.1:1 =,=,", "bounds x"}) {
+    CHECK(Json::accept(WriteDocument(MakeStoredFile(text))));
+  }
+}
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <random>
 
 #include "Registry/Registry.h"
@@ -26,6 +27,16 @@
   return record;
 }
 
+void SetId(wire::ServerRecord& record, const std::string& name) {
+  record.set_id(name);
+}
+void SetService(wire::ServerRecord& record, const std::string& name) {
+  record.set_service(name);
+}
+void SetDataCentre(wire::ServerRecord& record, const std::string& name) {
+  record.set_data_centre(name);
+}
+
 const wire::ServerRecord& CurrentRecord(const Registry& registry) {
   return registry.servers.at("i-1").record;
 }
@@ -140,6 +151,86 @@
   CHECK_FALSE(CheckServerRecord(record).empty());
 }
 
+TEST(Registry, RecordsThatCannotBeSentOnAreInvalid) {
+  for (const std::string& name :
+       {std::string("a\xff"), std::string("\xc3"), std::string("a\0b", 3),
+        std::string("a\nb"), std::string("\x7f"), std::string("\xc2\x85"),
+        std::string(601, 'x')}) {
+    for (const auto phase : {wire::SERVER_READY, wire::SERVER_GONE}) {
+      for (const auto set_name : {&SetId, &SetService, &SetDataCentre}) {
+        wire::ServerRecord record = MakeRecord(1, 1, phase);
+        set_name(record, name);
+        CHECK_FALSE(CheckServerRecord(record).empty());
+      }
+    }
+  }
+}
+
+TEST(Registry, LongNamesAreInvalid) {
+  constexpr std::size_t kLongestName = 200;
+  wire::ServerRecord record = MakeRecord(1, 1);
+  record.set_id(std::string(kLongestName, 'x'));
+  record.set_data_centre(std::string(kLongestName, 'x'));
+  record.set_service(std::string(3 * kLongestName, 'x'));
+  CHECK(CheckServerRecord(record).empty());
+  for (const auto set_name : {&SetId, &SetDataCentre}) {
+    wire::ServerRecord longer = record;
+    set_name(longer, std::string(kLongestName + 1, 'x'));
+    CHECK_FALSE(CheckServerRecord(longer).empty());
+  }
+}
+
+TEST(Registry, RecordsOutOfRangeAreInvalid) {
+  const auto is_valid = [](auto change, wire::ServerPhase phase) {
+    wire::ServerRecord record = MakeRecord(1, 1, phase);
+    change(record);
+    return CheckServerRecord(record).empty();
+  };
+  for (const auto phase : {wire::SERVER_READY, wire::SERVER_GONE}) {
+    CHECK(is_valid([](wire::ServerRecord&) {}, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_port(65536); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_slots(100001); }, phase));
+    CHECK_FALSE(
+        is_valid([](auto& r) { r.set_incarnation(UINT64_MAX); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_sequence(UINT64_MAX); }, phase));
+    CHECK_FALSE(is_valid([](auto& r) { r.set_warmup_ms(UINT32_MAX); }, phase));
+  }
+  CHECK_FALSE(is_valid([](auto&) {}, static_cast<wire::ServerPhase>(3)));
+  wire::ServerRecord gone;
+  gone.set_id("i-1");
+  gone.set_phase(wire::SERVER_GONE);
+  CHECK(CheckServerRecord(gone).empty());
+}
+
+TEST(Registry, FindsReportsThatContradictTheSameIncarnation) {
+  MergeServerRecord(this->registry, MakeRecord(5, 1), kStart);
+  CHECK(FindContradiction(this->registry, MakeRecord(5, 2)).empty());
+  CHECK(
+      FindContradiction(this->registry, MakeRecord(5, 2, wire::SERVER_DRAINING))
+          .empty());
+  for (const std::uint64_t incarnation : {4U, 5U, 6U}) {
+    std::array<wire::ServerRecord, 4> others;
+    others.fill(MakeRecord(incarnation, 2));
+    others[0].set_service("stock");
+    others[1].set_ip(11);
+    others[2].set_port(81);
+    others[3].set_data_centre("elsewhere");
+    for (const wire::ServerRecord& other : others) {
+      CHECK_EQUAL(incarnation != 5,
+                  FindContradiction(this->registry, other).empty());
+    }
+  }
+}
+
+TEST(Registry, NothingContradictsAServerThatIsOnlyKnownToBeGone) {
+  wire::ServerRecord gone;
+  gone.set_id("i-1");
+  gone.set_phase(wire::SERVER_GONE);
+  gone.set_incarnation(5);
+  MergeServerRecord(this->registry, gone, kStart);
+  CHECK(FindContradiction(this->registry, MakeRecord(5, 2)).empty());
+}
+
 TEST(Registry, MergesReportsInAnyOrderToTheSameResult) {
   std::vector<wire::ServerRecord> records;
   for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
