--- a/Source/Transport/Compression.cc
+++ b/Source/Transport/Compression.cc
@@ -2,6 +2,7 @@
 
 #include <zlib.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <cstring>
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMaxPlainBytes = 16U << 20U;
+/// Deflate output is never more than 1,032 times as long as its input.
+constexpr std::size_t kMaxCompressionRatio = 1032;
 
 }  // namespace
 
@@ -33,7 +36,9 @@
     return std::nullopt;
   }
   std::memcpy(&plain_length, compressed.data(), sizeof(plain_length));
-  if (plain_length > kMaxPlainBytes) {
+  const std::size_t reachable =
+      (compressed.size() - sizeof(plain_length)) * kMaxCompressionRatio;
+  if (plain_length > std::min(kMaxPlainBytes, reachable)) {
     return std::nullopt;
   }
   std::string plain(plain_length, '\0');
--- a/Source/Transport/Compression.h
+++ b/Source/Transport/Compression.h
@@ -14,7 +14,8 @@
 std::string Compress(std::string_view plain);
 
 /// Returns the uncompressed bytes, or nullopt when `compressed` is not an
-/// output of `Compress` or its uncompressed length exceeds 16 MiB.
+/// output of `Compress` or its uncompressed length exceeds 16 MiB. No memory is
+/// taken for a length that the compressed bytes cannot reach.
 std::optional<std::string> Uncompress(std::string_view compressed);
 
 }  // namespace filbertwall
--- a/Tests/Transport/FragmentsTest.cc
+++ b/Tests/Transport/FragmentsTest.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <cstring>
 #include <random>
 #include <string>
 
+#include "Transport/Compression.h"
 #include "Transport/Fragments.h"
 
 #include <CppUTest/TestHarness.h>
@@ -106,3 +108,68 @@
   CHECK_FALSE(
       reassembler.AddDatagram(kSender, datagrams[1], later).has_value());
 }
+
+TEST(Fragments, LargestMessageIsKeptWhole) {
+  Reassembler reassembler;
+  const std::string message = RandomBytes(kMaxMessageBytes, 5);
+  const auto reassembled = AddDatagrams(reassembler, SplitMessage(message, 1));
+  CHECK(reassembled.has_value());
+  CHECK(*reassembled == message);
+  CHECK_EQUAL(0, reassembler.PartialBytes());
+  CHECK(SplitMessage(RandomBytes(kMaxMessageBytes + 1, 5), 1).empty());
+}
+
+TEST(Fragments, PartialMessagesTakeBoundedMemory) {
+  Reassembler reassembler;
+  const std::string fragment = SplitMessage(RandomBytes(2000, 6), 1)[0];
+  for (std::uint32_t id = 0; id < 40000; ++id) {
+    std::string datagram = fragment;
+    std::memcpy(&datagram[1], &id, sizeof(id));
+    reassembler.AddDatagram(id % 50, datagram, kStart);
+    CHECK(reassembler.PartialBytes() <= kMaxPartialBytes);
+  }
+  CHECK(reassembler.PartialBytes() > kMaxPartialBytes / 2);
+  const TimePoint later = kStart + std::chrono::seconds(10);
+  reassembler.AddDatagram(60, fragment, later);
+  CHECK(reassembler.PartialBytes() < 2 * kMaxDatagramBytes);
+}
+
+TEST(Fragments, PartialMessagesOfOneSenderEvictNoOther) {
+  Reassembler reassembler;
+  const std::string message = RandomBytes(4U << 20U, 7);
+  const auto datagrams = SplitMessage(message, 1);
+  const std::string fragment = SplitMessage(RandomBytes(2000, 8), 1)[0];
+  std::optional<std::string> reassembled;
+  std::uint32_t id = 0;
+  for (const std::string& datagram : datagrams) {
+    for (int i = 0; i < 10; ++i) {
+      std::string flood = fragment;
+      std::memcpy(&flood[1], &++id, sizeof(id));
+      reassembler.AddDatagram(9, flood, kStart);
+    }
+    reassembled = reassembler.AddDatagram(kSender, datagram, kStart);
+  }
+  CHECK(reassembled.has_value());
+  CHECK(*reassembled == message);
+}
+
+TEST(Fragments, DatagramThatClaimsManyFragmentsTakesLittleMemory) {
+  Reassembler reassembler;
+  std::string datagram = SplitMessage(RandomBytes(2000, 6), 1)[0];
+  for (const std::uint16_t count : {8000, 65535}) {
+    std::memcpy(&datagram[1], &count, sizeof(count));
+    std::memcpy(&datagram[7], &count, sizeof(count));
+    CHECK_FALSE(reassembler.AddDatagram(kSender, datagram, kStart).has_value());
+  }
+  CHECK(reassembler.PartialBytes() < 2 * kMaxDatagramBytes);
+  CHECK_EQUAL(1, reassembler.MalformedCount());
+}
+
+TEST(Fragments, ClaimedLengthThatCannotBeReachedIsRejected) {
+  std::string compressed = Compress(std::string(100000, 'r'));
+  CHECK(Uncompress(compressed) == std::string(100000, 'r'));
+  const std::uint32_t claimed = 16U << 20U;
+  std::memcpy(compressed.data(), &claimed, sizeof(claimed));
+  CHECK_FALSE(Uncompress(compressed).has_value());
+  CHECK_FALSE(Uncompress(compressed.substr(0, 4)).has_value());
+}
