Distribution: Bound the memory of a parsed message

What callers saw: nothing yet; found while looking for other input that is relied on unchecked. An empty submessage takes 2 bytes on the wire and about 100 in memory, and compresses 1,000:1: some 16 KB of datagrams could make an instance take over half a gigabyte. The limit of 16 MiB on uncompressed bytes did not bound that.

ParseBounded walks a message of 64 KB or more by its descriptor and refuses it before parsing when it would take more than 40 MiB; the largest real one, with two rules files and the whole history, takes about 33 MB by this estimate. Shorter messages are parsed as before.

BoundedParse.EmptySubmessagesTakeLittleMemory and NestedGroupsOverflowNoStack pass. The latter shows that a million nested groups in an unknown field end at protobuf's own limit of depth; it held before.

--- a/Source/Shell/FleetLink.cc
+++ b/Source/Shell/FleetLink.cc
@@ -2,7 +2,10 @@
 
 #include <ctime>
 
+#include "Base/InputError.h"
+#include "Distribution/BoundedParse.h"
 #include "Shell/EndReport.h"
+#include "Shell/Log.h"
 
 namespace filbertwall {
 
@@ -53,8 +56,13 @@
       continue;
     }
     PeerMessage message{.from = datagram.from.ip};
-    if (!message.message.ParseFromString(*assembled)) {
+    if (!ParseBounded(message.message, *assembled, kMaxMessageMemory)) {
       this->malformed += 1;
+      WriteLog({.id = EventId::kMalformedInput,
+                .severity = Severity::kWarning,
+                .text = "message from=" + FormatIp(datagram.from.ip) +
+                        " bytes=" + std::to_string(assembled->size()) +
+                        " message=\"" + Excerpt(*assembled) + "\""});
       continue;
     }
     this->on_message.emit(message);
