Fleet: Set aside the records that cannot be read and apply the rest

Cause: the id was a proto3 `string`, which a sender may write and a receiver may not parse. One such id failed the whole update with its routes and all other servers, and the receiver's position never advanced.

ReadUpdate and its like check each received or stored record once; the reducers rely on the result. An undecodable batch of servers no longer hides the routes, nor the other way round; as it is not known which servers it held, the position stays.

Also checked: repeated voters, which counted twice in a majority; outcome counts beyond a million; ballot rounds and log positions near the largest number; routes newer than the version that their sender states; unknown enum values.

PackedContents.RejectsTheWholeUpdateWhenAFieldIsInvalid demanded the fault: one invalid field hid the others. Two tests replace it, with the same invalid inputs, for each of the two fields: nothing of that field is taken, and the other is whole.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -36,6 +36,7 @@
   kServerFailingChanged = 3015,
   kOrderRecordsRestored = 4001,
   kMalformedInput = 5001,
+  kRecordSetAside = 5002,
   kFlowPlaced = 6001,
   kFlowRefused = 6002,
   kPacketDropped = 6003,
--- a/Source/Distribution/PackedContents.cc
+++ b/Source/Distribution/PackedContents.cc
@@ -1,5 +1,6 @@
 #include "Distribution/PackedContents.h"
 
+#include "Distribution/BoundedParse.h"
 #include "Transport/Compression.h"
 
 namespace filbertwall {
@@ -8,6 +9,9 @@
 /// Maximum age of packed records that are reused. The remaining warm-up time in
 /// them becomes outdated.
 constexpr Milliseconds kMaxRecordsAge{100};
+/// Of the routes or records of one update. A route takes about 300 bytes, and a
+/// config of 4 MiB has at most some 70,000.
+constexpr std::size_t kMaxPackedMemory = 32U << 20U;
 /// The first byte of packed contents gives their encoding.
 constexpr char kPlain = 'p';
 constexpr char kCompressed = 'c';
@@ -22,27 +26,39 @@
   return bytes.front() == kCompressed ? Uncompress(payload) : payload;
 }
 
-bool UnpackRoutes(wire::Update& update) {
+bool UnpackRoutes(wire::Update& update, SetAsideRecords& records) {
   if (update.packed_routes().empty()) {
     return true;
   }
-  const auto plain = UnpackBytes(update.packed_routes());
+  const std::string packed = std::move(*update.mutable_packed_routes());
   update.clear_packed_routes();
-  return plain && update.mutable_routes()->ParseFromString(*plain);
+  const auto plain = UnpackBytes(packed);
+  if (plain &&
+      ParseBounded(*update.mutable_routes(), *plain, kMaxPackedMemory)) {
+    return true;
+  }
+  SetAside(records, InputError::kNotReadable, packed);
+  update.clear_routes();
+  return false;
 }
 
-bool UnpackRecords(wire::Update& update) {
+bool UnpackRecords(wire::Update& update, SetAsideRecords& set_aside) {
   if (update.packed_servers().empty()) {
     return true;
   }
-  const auto plain = UnpackBytes(update.packed_servers());
+  const std::string packed = std::move(*update.mutable_packed_servers());
   update.clear_packed_servers();
+  const auto plain = UnpackBytes(packed);
   wire::ServerRecords records;
-  if (!plain || !records.ParseFromString(*plain)) {
-    return false;
+  if (plain && ParseBounded(records, *plain, kMaxPackedMemory)) {
+    update.mutable_servers()->MergeFrom(records.servers());
+    return true;
   }
-  update.mutable_servers()->MergeFrom(records.servers());
-  return true;
+  SetAside(set_aside, InputError::kNotReadable, packed);
+  update.clear_registry_epoch();
+  update.clear_registry_from();
+  update.clear_registry_change();
+  return false;
 }
 
 }  // namespace
@@ -88,7 +104,9 @@
   RecordBatch batch = RecordsAfter(registry, change, max_records, now);
   wire::ServerRecords message;
   for (wire::ServerRecord& record : batch.records) {
-    *message.add_servers() = std::move(record);
+    if (!CheckReceivedServer(record)) {
+      *message.add_servers() = std::move(record);
+    }
   }
   records = PackedRecords{.change = batch.change,
                           .complete = batch.complete,
@@ -101,14 +119,18 @@
 }
 
 bool UnpackUpdate(wire::Update& update) {
-  const bool routes = UnpackRoutes(update);
-  const bool records = UnpackRecords(update);
-  if (routes && records) {
-    return true;
-  }
-  update.clear_routes();
-  update.clear_servers();
-  return false;
+  SetAsideRecords records;
+  const bool has_routes = UnpackRoutes(update, records);
+  const bool has_records = UnpackRecords(update, records);
+  return has_routes && has_records;
+}
+
+SetAsideRecords ReadUpdate(wire::Update& update) {
+  SetAsideRecords records;
+  UnpackRoutes(update, records);
+  UnpackRecords(update, records);
+  CheckUpdate(update, records);
+  return records;
 }
 
 }  // namespace filbertwall
--- a/Source/Distribution/PackedContents.h
+++ b/Source/Distribution/PackedContents.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Base/Time.h"
+#include "Distribution/ReceivedRecords.h"
 #include "Distribution/RouteHistory.h"
 #include "Registry/Registry.h"
 #include "Wire/distribution.pb.h"
@@ -50,16 +51,23 @@
                                    std::uint64_t base);
 
 /// Returns the packed result of `RecordsAfter` for a receiver that has the
-/// records up to change number `change`. The reference is valid until the next
-/// call.
+/// records up to change number `change`. Records that are not valid are left
+/// out: an earlier build cannot parse an update that holds one. The reference
+/// is valid until the next call.
 const PackedRecords& PackRecordsAfter(PackedContents& packed,
                                       const Registry& registry,
                                       std::uint64_t change,
                                       std::size_t max_records, TimePoint now);
 
 /// Decodes the packed fields of an update into its routes and records and
-/// clears the packed fields. Returns false when a field cannot be decoded; all
-/// routes and records are then removed from the update.
+/// clears the packed fields. Returns false when a field cannot be decoded; what
+/// it would have held is then missing, and the rest of the update is kept. When
+/// this is the field of the records, the update no longer states a position in
+/// the registry, since the receiver still lacks them.
 bool UnpackUpdate(wire::Update& update);
 
+/// Unpacks a received update and removes what cannot be used, so that the rest
+/// can be relied on. Returns what was set aside.
+SetAsideRecords ReadUpdate(wire::Update& update);
+
 }  // namespace filbertwall
--- a/Source/Distribution/RouteHistory.cc
+++ b/Source/Distribution/RouteHistory.cc
@@ -1,5 +1,7 @@
 #include "Distribution/RouteHistory.h"
 
+#include "Base/InputError.h"
+
 namespace filbertwall {
 namespace {
 
@@ -23,7 +25,8 @@
   route.set_port(rule.address.port);
   for (const WeightedService& share : rule.shares) {
     wire::RouteShare& item = *route.add_shares();
-    item.set_service(share.service);
+    // An earlier build cannot parse an update with a name that is not UTF-8.
+    item.set_service(IsUtf8(share.service) ? share.service : "");
     item.set_weight(share.weight);
   }
   route.set_kind(RequestKindOf(rule.route_settings.kind));
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -26,6 +26,9 @@
 void Log(ControlContext& context, EventId id, const std::string& text,
          Severity severity = Severity::kInfo);
 void Answer(ControlContext& context, AnswerCall answer);
+/// Counts and logs records that were set aside. Does nothing if there are none.
+void ReportSetAside(ControlContext& context, const SetAsideRecords& records,
+                    const std::string& source);
 /// Applies an event to the replica and handles the effects. Does nothing while
 /// the disk has failed.
 void RunReplica(ControlContext& context, const ControlEvent& event);
@@ -55,11 +58,13 @@
                                                 TimePoint now);
 /// Requests records and rules_status from the other control instances.
 void SubscribeToOthers(ControlContext& context);
+/// Precondition: `subscribe` has passed `CheckSubscribe`.
 void HandleSubscribe(ControlContext& context, InstanceAddress from,
                      const wire::Subscribe& subscribe);
 /// Answers as many queued requests of entry instances as the budget of the
 /// queue allows.
 void AnswerFollowerRequests(ControlContext& context);
+/// Precondition: `update` was returned by `ReadUpdate`.
 void HandleUpdate(ControlContext& context, InstanceAddress from,
                   const wire::Update& update);
 
@@ -73,7 +78,7 @@
 void AnswerPendingReports(ControlContext& context);
 
 /// Adds flow outcomes received from an entry instance or another control
-/// instance.
+/// instance. Precondition: `outcomes` has passed `CheckOutcomes`.
 void HandleOutcomes(ControlContext& context, const wire::Outcomes& outcomes);
 /// When due, forwards outcomes to the other control instances and updates which
 /// servers are marked as failing.
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -116,13 +116,15 @@
   const TimePoint reported_at =
       context.now - instance.config.announce_interval *
                         (kIntervalsUntilSilent - kIntervalsUntilSettled);
-  for (wire::ServerRecord record : saved.servers()) {
+  auto servers = saved.servers();
+  SetAsideRecords set_aside;
+  CheckServers(servers, set_aside);
+  ReportSetAside(context, set_aside, "disk");
+  for (wire::ServerRecord& record : servers) {
     record.set_failing(false);  // Flow outcomes are not saved.
-    if (CheckServerRecord(record).empty()) {
-      MergeServerRecord(instance.registry, record, reported_at);
-    }
+    MergeServerRecord(instance.registry, record, reported_at);
   }
-  instance.settled = saved.servers_size() > 0;
+  instance.settled = !instance.registry.servers.empty();
   instance.previous_followers.insert(saved.followers().begin(),
                                      saved.followers().end());
   instance.saved_followers = instance.previous_followers;
@@ -200,14 +202,35 @@
 
 void HandlePackedUpdate(ControlContext& context, InstanceAddress from,
                         wire::Update update) {
-  if (!UnpackUpdate(update)) {
-    Log(context, EventId::kMalformedInput,
-        "malformed update from " + FormatIp(from), Severity::kWarning);
-    return;
-  }
+  ReportSetAside(context, ReadUpdate(update), FormatIp(from));
   HandleUpdate(context, from, update);
 }
 
+void HandlePeerMessage(ControlContext& context, const PeerMessage& event) {
+  const wire::FleetMessage& message = event.message;
+  SetAsideRecords set_aside;
+  if (message.has_control()) {
+    if (const auto error = CheckControlMessage(message.control())) {
+      SetAside(set_aside, *error, message.control().SerializeAsString());
+    } else {
+      RunReplica(context, ControlReceived{.from = event.from,
+                                          .message = message.control()});
+      RetrySubmissions(context);
+    }
+  } else if (message.has_subscribe()) {
+    wire::Subscribe subscribe = message.subscribe();
+    CheckSubscribe(subscribe, set_aside);
+    HandleSubscribe(context, event.from, subscribe);
+  } else if (message.has_update()) {
+    HandlePackedUpdate(context, event.from, message.update());
+  } else if (message.has_outcomes()) {
+    wire::Outcomes outcomes = message.outcomes();
+    CheckOutcomes(outcomes, set_aside);
+    HandleOutcomes(context, outcomes);
+  }
+  ReportSetAside(context, set_aside, FormatIp(event.from));
+}
+
 struct EventVisitor {
   ControlContext& context;
   void operator()(const ControlInstanceStarted& event) {
@@ -229,18 +252,7 @@
   }
   void operator()(const ControlInstanceTick&) { HandleTick(this->context); }
   void operator()(const PeerMessage& event) {
-    const wire::FleetMessage& message = event.message;
-    if (message.has_control()) {
-      RunReplica(this->context, ControlReceived{.from = event.from,
-                                                .message = message.control()});
-      RetrySubmissions(this->context);
-    } else if (message.has_subscribe()) {
-      HandleSubscribe(this->context, event.from, message.subscribe());
-    } else if (message.has_update()) {
-      HandlePackedUpdate(this->context, event.from, message.update());
-    } else if (message.has_outcomes()) {
-      HandleOutcomes(this->context, message.outcomes());
-    }
+    HandlePeerMessage(this->context, event);
   }
   void operator()(const ServerReported& event) {
     HandleReport(this->context, event);
@@ -285,6 +297,15 @@
       LogRecord{.id = id, .severity = severity, .text = text});
 }
 
+void ReportSetAside(ControlContext& context, const SetAsideRecords& records,
+                    const std::string& source) {
+  if (records.total > 0) {
+    AddCounts(context.instance.counters.set_aside, records);
+    Log(context, EventId::kRecordSetAside, FormatSetAside(records, source),
+        Severity::kWarning);
+  }
+}
+
 void Answer(ControlContext& context, AnswerCall answer) {
   context.effects.emplace_back(std::move(answer));
 }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Base/Histogram.h"
+#include "Base/InputError.h"
 #include "Control/Replica.h"
 #include "Distribution/PackedContents.h"
 #include "Distribution/RouteHistory.h"
@@ -67,6 +68,7 @@
 };
 
 struct ControlCounters {
+  InputErrorCounts set_aside;  ///< Records that could not be used.
   std::uint64_t reports = 0;
   std::uint64_t reports_unconfirmed = 0;
   std::uint64_t submissions = 0;
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -155,7 +155,7 @@
   subscriber.heard_list_sent_at = context.now;
   const Milliseconds lately = kSubscribeInterval * 2;
   for (const auto& [id, server] : context.instance.registry.servers) {
-    if (context.now - server.reported_at <= lately) {
+    if (context.now - server.reported_at <= lately && IsUtf8(id)) {
       update.add_heard(id);
     }
   }
@@ -382,8 +382,7 @@
     record.set_silent(silent &&
                       known->second.record.sequence() == record.sequence());
     PreserveFailingState(instance.registry, record);
-    if (CheckServerRecord(record).empty() &&
-        MergeServerRecord(instance.registry, record, context.now)) {
+    if (MergeServerRecord(instance.registry, record, context.now)) {
       changed = true;
       LogServer(context, record, FormatIp(from));
     }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -82,7 +82,8 @@
   source.contents_requested_at = context.now;
   wire::FleetMessage message;
   wire::Subscribe& subscribe = *message.mutable_subscribe();
-  subscribe.set_rules_version(instance.forwarder.routes.version);
+  subscribe.set_rules_version(
+      instance.all_routes_wanted ? 0 : instance.forwarder.routes.version);
   subscribe.set_rules_wanted(true);
   subscribe.set_registry_epoch(source.position.epoch);
   subscribe.set_registry_change(source.position.change);
@@ -196,8 +197,7 @@
   EntryInstance& instance = context.instance;
   bool changed = false;
   for (const wire::ServerRecord& record : update.servers()) {
-    if (!CheckServerRecord(record).empty() ||
-        !MergeServerRecord(instance.registry, record, context.now)) {
+    if (!MergeServerRecord(instance.registry, record, context.now)) {
       continue;
     }
     changed = true;
@@ -311,6 +311,7 @@
   }
 }
 
+/// Precondition: `update` was returned by `ReadUpdate`.
 void HandleUpdate(EventContext& context, InstanceAddress from,
                   const wire::Update& update) {
   EntryInstance& instance = context.instance;
@@ -385,12 +386,17 @@
       return;
     }
     wire::Update update = event.message.update();
-    if (UnpackUpdate(update)) {
-      HandleUpdate(this->context, event.from, update);
-    } else {
-      Log(this->context, EventId::kMalformedInput,
-          "malformed update from " + FormatIp(event.from), Severity::kWarning);
+    const bool sent_routes = !update.packed_routes().empty();
+    const SetAsideRecords set_aside = ReadUpdate(update);
+    if (sent_routes) {
+      this->context.instance.all_routes_wanted = !update.has_routes();
     }
+    if (set_aside.total > 0) {
+      AddCounts(this->context.instance.set_aside, set_aside);
+      Log(this->context, EventId::kRecordSetAside,
+          FormatSetAside(set_aside, FormatIp(event.from)), Severity::kWarning);
+    }
+    HandleUpdate(this->context, event.from, update);
   }
   void operator()(const EntryStopRequested&) {
     EntryInstance& instance = this->context.instance;
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "Base/InputError.h"
 #include "Fleet/Fleet.h"
 #include "Forwarding/Forwarder.h"
 #include "Registry/Registry.h"
@@ -43,6 +44,8 @@
   TimePoint primary_fresh_at;  ///< Last fresh update from `primary`.
   /// Whether the rules were confirmed as the newest since this start.
   bool rules_confirmed = false;
+  /// The last routes received could not be read, so all are requested again.
+  bool all_routes_wanted = false;
   bool servers_known = false;  ///< All backend servers have been received.
   bool stopping = false;
   bool stopped = false;
@@ -57,6 +60,7 @@
   Milliseconds contents_request_interval{0};
   TimePoint next_housekeeping_at;
   TimePoint stop_at;
+  InputErrorCounts set_aside;  ///< Records that could not be used.
 };
 
 struct EntryStarted {};
--- a/Source/Fleet/Fleet.cc
+++ b/Source/Fleet/Fleet.cc
@@ -5,6 +5,9 @@
 namespace filbertwall {
 
 void AdvancePosition(RegistryPosition& position, const wire::Update& update) {
+  if (update.registry_epoch() == 0) {
+    return;  // A summary, which states no position.
+  }
   if (update.registry_epoch() == position.epoch) {
     const bool contiguous = update.registry_from() <= position.change;
     // Updates may arrive out of order, so the position never moves back.
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -60,8 +60,8 @@
 
 /// Advances `position` to the last change that `update` contains. Leaves it
 /// unchanged if the update starts after `position`, since the changes between
-/// would be skipped. After a restart of the sender, only an update that starts
-/// at change 0 is accepted.
+/// would be skipped, or states no position. After a restart of the sender, only
+/// an update that starts at change 0 is accepted.
 void AdvancePosition(RegistryPosition& position, const wire::Update& update);
 
 }  // namespace filbertwall
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -53,6 +53,15 @@
              process.message_bytes_sent);
 }
 
+void AddSetAsideMetrics(Samples& samples, const InputErrorCounts& set_aside) {
+  for (std::size_t i = 0; i < kInputErrorCount; ++i) {
+    const auto error = static_cast<InputError>(i);
+    AddCounter(samples, "records_set_aside_total",
+               "Received or stored records that could not be used, by reason.",
+               set_aside.Get(error), InputErrorName(error));
+  }
+}
+
 void AddServerMetrics(Samples& samples, const Registry& registry) {
   double ready = 0;
   double draining = 0;
@@ -77,6 +86,7 @@
                                          TimePoint now) {
   Samples samples;
   AddProcessMetrics(samples, process);
+  AddSetAsideMetrics(samples, instance.set_aside);
   AddServerMetrics(samples, instance.registry);
   const ForwarderCounters& counters = instance.forwarder.counters;
   const std::string packets_help = "Packets of callers, by what was decided.";
@@ -154,6 +164,7 @@
                                          TimePoint now) {
   Samples samples;
   AddProcessMetrics(samples, process);
+  AddSetAsideMetrics(samples, instance.counters.set_aside);
   AddServerMetrics(samples, instance.registry);
   const Replica& replica = instance.replica;
   AddGauge(samples, "leader", "1 when this instance leads with a lease.",
--- a/Source/Fleet/ServerOutcomes.cc
+++ b/Source/Fleet/ServerOutcomes.cc
@@ -12,6 +12,11 @@
 /// those counted in the statistics here.
 constexpr double kMinForwardedFailures = 0.5;
 
+/// Returns the sum of two counts, at most the number that a receiver accepts.
+std::uint32_t AddSaturated(std::uint32_t left, std::uint32_t right) {
+  return std::min(kMaxOutcomesPerServer, left + right);
+}
+
 /// Forwards the outcomes of servers with failures to the other control
 /// instances, since each receives outcomes only from the entry instances that
 /// subscribed to it.
@@ -100,8 +105,8 @@
     if (!outcomes.passed_on()) {
       wire::ServerOutcome& sum = state.to_forward[outcome.id()];
       sum.set_id(outcome.id());
-      sum.set_served(sum.served() + outcome.served());
-      sum.set_failed(sum.failed() + outcome.failed());
+      sum.set_served(AddSaturated(sum.served(), outcome.served()));
+      sum.set_failed(AddSaturated(sum.failed(), outcome.failed()));
     }
   }
   if (!state.stats.servers.empty()) {
--- a/Tests/Distribution/PackedContentsTest.cc
+++ b/Tests/Distribution/PackedContentsTest.cc
@@ -11,6 +11,11 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr std::size_t kMaxRecords = 50;
 
+/// Values of packed fields that cannot be decoded.
+const std::vector<std::string> kUndecodable = {
+    std::string("c"), std::string("cxxxxxxxxxxxx"), std::string("p\x0a\xff"),
+    std::string("c\xff\xff\xff\xff")};
+
 Rules MakeRules(std::uint64_t version, std::uint16_t last_port) {
   Rules rules{.version = version};
   for (std::uint16_t port = 1; port <= last_port; ++port) {
@@ -109,15 +114,59 @@
   LONGS_EQUAL(500, update.servers(0).warmup_ms());
 }
 
-TEST(PackedContents, RejectsTheWholeUpdateWhenAFieldIsInvalid) {
-  for (const std::string& bytes :
-       {std::string("c"), std::string("cxxxxxxxxxxxx"),
-        std::string("p\x0a\xff"), std::string("c\xff\xff\xff\xff")}) {
+TEST(PackedContents, UndecodableRecordsAreNotTakenAndHideNoRoutes) {
+  for (const std::string& bytes : kUndecodable) {
     wire::Update update;
     update.set_packed_routes(PackRoutesSince(this->packed, this->history, 0));
     update.set_packed_servers(bytes);
+    update.set_registry_epoch(9);
+    update.set_registry_change(80);
     CHECK_FALSE(UnpackUpdate(update));
-    CHECK_FALSE(update.has_routes());
+    LONGS_EQUAL(1000, update.routes().set_size());
     LONGS_EQUAL(0, update.servers_size());
+    // The receiver's position must not move past records that it lacks.
+    CHECK_EQUAL(0, update.registry_epoch());
+    CHECK_EQUAL(0, update.registry_change());
+  }
+}
+
+TEST(PackedContents, UndecodableRoutesAreNotTakenAndHideNoRecords) {
+  for (const std::string& bytes : kUndecodable) {
+    wire::Update update;
+    update.set_packed_routes(bytes);
+    update.set_packed_servers(
+        PackRecordsAfter(this->packed, this->registry, 0, kMaxRecords, kStart)
+            .bytes);
+    update.set_registry_epoch(9);
+    CHECK_FALSE(UnpackUpdate(update));
+    CHECK_FALSE(update.has_routes());
+    LONGS_EQUAL(kMaxRecords, update.servers_size());
+    CHECK_EQUAL(9, update.registry_epoch());
   }
 }
+
+TEST(PackedContents, RecordThatIsNoTextHidesNoOtherRecord) {
+  AddServer(this->registry, "i-\xff\xfe");
+  wire::ServerRecords records;
+  for (const auto& [id, server] : this->registry.servers) {
+    *records.add_servers() = server.record;
+  }
+  wire::Update update;
+  update.set_packed_servers("p" + records.SerializeAsString());
+  const SetAsideRecords set_aside = ReadUpdate(update);
+  CHECK_EQUAL(1, set_aside.total);
+  CHECK_EQUAL(1, set_aside.counts.Get(InputError::kNotUtf8));
+  LONGS_EQUAL(80, update.servers_size());
+}
+
+TEST(PackedContents, RecordThatIsNoTextIsNotSentOn) {
+  AddServer(this->registry, "i-\xff\xfe");
+  AddServer(this->registry, "b");
+  const PackedRecords& records =
+      PackRecordsAfter(this->packed, this->registry, 80, kMaxRecords, kStart);
+  wire::Update update;
+  update.set_packed_servers(records.bytes);
+  CHECK(UnpackUpdate(update));
+  LONGS_EQUAL(1, update.servers_size());
+  CHECK_EQUAL(82, records.change);
+}
--- /dev/null
+++ b/Tests/Distribution/ReceivedRecordsTest.cc
@@ -0,0 +1,104 @@
+#include <limits>
+#include <string>
+
+#include "Distribution/PackedContents.h"
+#include "Distribution/ReceivedRecords.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace filbertwall;
+
+namespace {
+
+wire::Route MakeRoute(std::uint32_t port) {
+  wire::Route route;
+  route.set_ip(5);
+  route.set_port(port);
+  wire::RouteShare& share = *route.add_shares();
+  share.set_service("proof");
+  share.set_weight(1);
+  return route;
+}
+
+/// Returns an update of version 9 with one valid route, on port 1.
+wire::Update MakeUpdate() {
+  wire::Update update;
+  update.set_rules_version(9);
+  update.mutable_routes()->set_version(9);
+  *update.mutable_routes()->add_set() = MakeRoute(1);
+  return update;
+}
+
+}  // namespace
+
+TEST_GROUP(ReceivedRecords) { SetAsideRecords set_aside; };
+
+TEST(ReceivedRecords, RoutesBeyondTheSendersVersionHideNoLaterVersion) {
+  wire::Update update = MakeUpdate();
+  update.mutable_routes()->set_version(
+      std::numeric_limits<std::uint64_t>::max());
+  this->set_aside = ReadUpdate(update);
+  CHECK_FALSE(update.has_routes());
+  CHECK_EQUAL(1, this->set_aside.counts.Get(InputError::kContradicts));
+}
+
+TEST(ReceivedRecords, RepeatedVotersCountOnceInAMajority) {
+  wire::Update update;
+  for (const std::uint32_t address : {1U, 1U, 1U, 0U, 2U, 3U}) {
+    update.add_control_instances(address);
+  }
+  CHECK_EQUAL(1, ReadUpdate(update).total);
+  LONGS_EQUAL(3, update.control_instances_size());
+}
+
+TEST(ReceivedRecords, ImpossibleOutcomesMarkNoServer) {
+  wire::Outcomes outcomes;
+  outcomes.add_servers()->set_failed(std::numeric_limits<std::uint32_t>::max());
+  outcomes.add_servers()->set_failed(3);
+  CheckOutcomes(outcomes, this->set_aside);
+  LONGS_EQUAL(1, outcomes.servers_size());
+  CHECK_EQUAL(3, outcomes.servers(0).failed());
+}
+
+TEST(ReceivedRecords, LastBallotBlocksNoLaterElection) {
+  wire::ControlMessage message;
+  message.mutable_prepare()->mutable_ballot()->set_round(7);
+  CHECK_FALSE(CheckControlMessage(message).has_value());
+  message.mutable_prepare()->mutable_ballot()->set_round(
+      std::numeric_limits<std::uint64_t>::max());
+  CHECK(CheckControlMessage(message) == InputError::kOutOfRange);
+}
+
+TEST(ReceivedRecords, UnknownPhaseAndUnknownFieldsAreBounded) {
+  wire::ServerRecord record;
+  record.set_id("a");
+  record.set_service("proof");
+  record.set_ip(7);
+  record.set_port(80);
+  record.set_slots(2);
+  CHECK_FALSE(CheckReceivedServer(record).has_value());
+  record.set_phase(static_cast<wire::ServerPhase>(77));
+  CHECK(CheckReceivedServer(record) == InputError::kOutOfRange);
+  record.set_phase(wire::SERVER_READY);
+  record.GetReflection()->MutableUnknownFields(&record)->AddLengthDelimited(
+      99, std::string(100000, 'u'));
+  CHECK(CheckReceivedServer(record) == InputError::kTooLarge);
+}
+
+TEST(ReceivedRecords, LargestConfigIsParsed) {
+  constexpr std::uint32_t kRoutes = 60000;
+  wire::Update update = MakeUpdate();
+  for (std::uint32_t port = 2; port <= kRoutes; ++port) {
+    wire::Route& route = *update.mutable_routes()->add_set();
+    route = MakeRoute(port);
+    *route.add_shares() = route.shares(0);
+    route.set_kind(wire::REQUEST_SAFE);
+    route.set_timeout_ms(1000);
+    route.set_objective_ms(100);
+    route.set_priority(1);
+  }
+  update.set_packed_routes("p" + update.routes().SerializeAsString());
+  update.clear_routes();
+  CHECK_EQUAL(0, ReadUpdate(update).total);
+  LONGS_EQUAL(kRoutes, update.routes().set_size());
+}
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -442,3 +442,43 @@
   Reduce(entry, make_update(1, 5), now + Milliseconds(100));
   CHECK(IsReady(entry));
 }
+
+TEST(Fleet, ServerIdThatIsNoTextHidesNoLaterConfigAndNoLaterServer) {
+  // As of an earlier build, whose calls accept it.
+  wire::ServerRecord record;
+  record.set_id("i-\xff\xfe");
+  record.set_service("proof");
+  record.set_ip(7);
+  record.set_port(80);
+  record.set_slots(2);
+  record.set_incarnation(1);
+  for (auto& [id, control] : this->world.controls) {
+    MergeServerRecord(control.registry, record, this->world.now);
+  }
+  CHECK(SubmitUntilAccepted(this->world, 9));
+  const CallId call = Report(this->world, 1, "a1", 2, wire::SERVER_DRAINING);
+  Run(this->world, Milliseconds(100));
+  CHECK(IsAccepted(this->world, call));
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK_EQUAL(9, VersionAt(this->world, id));
+    CHECK_FALSE(IsUsableAt(this->world, id, "a1"));
+    CHECK(IsUsableAt(this->world, id, "a2"));
+  }
+}
+
+TEST(Fleet, StoredServerIdThatIsNoTextHidesNoOtherStoredServer) {
+  wire::SavedRegistry saved = this->world.saved[1];
+  LONGS_EQUAL(2, saved.servers_size());
+  *saved.add_servers() = saved.servers(0);
+  saved.mutable_servers(0)->set_id("i-\xff\xfe");
+  const std::string file = saved.SerializeAsString();
+  wire::SavedRegistry read;
+  CHECK(read.ParseFromString(file));
+  ControlInstance instance = MakeControlInstance(
+      MakeInstanceConfig(this->world, 1), this->world.disks[1]);
+  Reduce(instance, ControlInstanceStarted{.saved = read}, this->world.now);
+  CHECK(instance.registry.servers.contains("a1"));
+  CHECK(instance.registry.servers.contains("a2"));
+  LONGS_EQUAL(2, instance.registry.servers.size());
+  CHECK_EQUAL(1, instance.counters.set_aside.Get(InputError::kNotUtf8));
+}
