Fleet: Correct a position that no registry has

What callers saw: nothing yet; found while looking for other input that is relied on unchecked. A receiver whose position in a registry is beyond the newest change, as after a damaged update, was sent no changed server for as long as the sender ran, and a leaving server was answered as confirmed though nobody had it. An update that asks for a confirmation but holds no progress was answered at once each time, so that two instances could send each other the same messages without pause.

A control instance that is told such a position sends its registry from the start, and says so (position_reset), upon which the receiver takes the position of the update. A confirmation is sent at once only when the position is beyond the update's start.

Fleet.PositionBeyondTheRegistryHidesNoLaterServer, PositionBeyondTheRegistryConfirmsNoLeavingServer and PartialUpdateWithoutRecordsStartsNoLoop pass.

--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -162,10 +162,11 @@
 }
 
 void SendUpdate(ControlContext& context, InstanceAddress to,
-                Subscriber& subscriber) {
+                Subscriber& subscriber, bool position_reset = false) {
   wire::FleetMessage message;
   *message.mutable_update() = MakeUpdate(context, subscriber);
   wire::Update& update = *message.mutable_update();
+  update.set_position_reset(position_reset);
   update.set_confirm(update.partial() ||
                      (subscriber.control && !update.packed_servers().empty()));
   subscriber.next_request_by =
@@ -307,8 +308,13 @@
   ControlInstance& instance = context.instance;
   const bool known_epoch =
       subscribe.registry_epoch() == instance.config.incarnation;
+  // A position beyond the newest change was not received from this registry, so
+  // it says nothing about which records the sender has.
+  const bool impossible =
+      known_epoch && subscribe.registry_change() > instance.registry.change;
   Subscriber& subscriber = instance.subscribers[from];
-  const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
+  const std::uint64_t change =
+      known_epoch && !impossible ? subscribe.registry_change() : 0;
   const bool is_confirmation =
       known_epoch && change > subscriber.registry_change;
   subscriber = Subscriber{.rules_version = subscribe.rules_version(),
@@ -322,7 +328,7 @@
   if (subscribe.control() && is_confirmation && complete) {
     return;  // The request only confirms an update, and nothing is missing.
   }
-  SendUpdate(context, from, subscriber);
+  SendUpdate(context, from, subscriber, impossible);
 }
 
 }  // namespace
@@ -397,7 +403,7 @@
   AdvancePosition(source.position, update);
   instance.settled = instance.settled || update.settled();
   RecordRulesStatus(context, from, ExtractRulesStatus(update));
-  if (update.confirm()) {
+  if (MayConfirm(source.position, update)) {
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -348,7 +348,7 @@
       instance.primary_fresh_at = context.now;
     }
   }
-  if (update.confirm()) {
+  if (MayConfirm(source.position, update)) {
     SendSubscribe(context, from);
   }
   UpdateServingState(context);
--- a/Source/Fleet/Fleet.cc
+++ b/Source/Fleet/Fleet.cc
@@ -8,7 +8,10 @@
   if (update.registry_epoch() == 0) {
     return;  // A summary, which states no position.
   }
-  if (update.registry_epoch() == position.epoch) {
+  if (update.position_reset() && update.registry_from() == 0) {
+    position = {.epoch = update.registry_epoch(),
+                .change = update.registry_change()};
+  } else if (update.registry_epoch() == position.epoch) {
     const bool contiguous = update.registry_from() <= position.change;
     // Updates may arrive out of order, so the position never moves back.
     position.change = contiguous
@@ -20,6 +23,11 @@
   }
 }
 
+bool MayConfirm(const RegistryPosition& position, const wire::Update& update) {
+  return update.confirm() && update.registry_epoch() == position.epoch &&
+         position.change > update.registry_from();
+}
+
 wire::RulesStatus ExtractRulesStatus(const wire::Update& update) {
   wire::RulesStatus rules_status;
   rules_status.set_voter(update.voter());
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -64,4 +64,9 @@
 /// an update that starts at change 0 is accepted.
 void AdvancePosition(RegistryPosition& position, const wire::Update& update);
 
+/// Returns whether to confirm an update at once, as its sender asks. Only a
+/// position beyond the start of the update is news to the sender; otherwise two
+/// instances could send each other the same messages without pause.
+bool MayConfirm(const RegistryPosition& position, const wire::Update& update);
+
 }  // namespace filbertwall
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -482,3 +482,61 @@
   LONGS_EQUAL(2, instance.registry.servers.size());
   CHECK_EQUAL(1, instance.counters.set_aside.Get(InputError::kNotUtf8));
 }
+
+TEST(Fleet, PositionBeyondTheRegistryHidesNoLaterServer) {
+  for (auto& [id, entry] : this->world.entries) {
+    for (auto& [address, source] : entry.sources) {
+      source.position.change = UINT64_MAX;
+    }
+  }
+  for (auto& [id, control] : this->world.controls) {
+    for (auto& [address, source] : control.sources) {
+      source.position.change = UINT64_MAX;
+    }
+  }
+  Run(this->world, Milliseconds(1500));
+  const CallId call = Report(this->world, 1, "a1", 2, wire::SERVER_DRAINING);
+  Run(this->world, Milliseconds(100));
+  CHECK(IsAccepted(this->world, call));
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK_FALSE(IsUsableAt(this->world, id, "a1"));
+  }
+}
+
+TEST(Fleet, PositionBeyondTheRegistryConfirmsNoLeavingServer) {
+  this->world.is_lost = [](InstanceAddress from, InstanceAddress to) {
+    return from == 3 || to == 3;
+  };
+  const CallId call = Report(this->world, 3, "a1", 2, wire::SERVER_DRAINING);
+  PeerMessage event{.from = 2};
+  wire::Subscribe& subscribe = *event.message.mutable_subscribe();
+  subscribe.set_control(true);
+  subscribe.set_registry_epoch(this->world.controls.at(3).config.incarnation);
+  subscribe.set_registry_change(UINT64_MAX);
+  Apply(this->world, 3, ControlInstanceEvent(event));
+  CHECK_FALSE(IsAccepted(this->world, call));
+}
+
+TEST(Fleet, PartialUpdateWithoutRecordsStartsNoLoop) {
+  PeerMessage event{.from = 1};
+  wire::Update& update = *event.message.mutable_update();
+  update.set_confirm(true);
+  update.set_partial(true);
+  update.set_registry_epoch(this->world.controls.at(1).config.incarnation);
+  const auto has_request = [](const auto& effects) {
+    for (const auto& effect : effects) {
+      const auto* send = std::get_if<SendMessage>(&effect);
+      if (send != nullptr && send->message.has_subscribe()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  update.set_registry_from(UINT64_MAX);
+  update.set_registry_change(UINT64_MAX);
+  for (auto& [id, entry] : this->world.entries) {
+    CHECK_FALSE(has_request(Reduce(entry, event, this->world.now)));
+  }
+  CHECK_FALSE(
+      has_request(Reduce(this->world.controls.at(2), event, this->world.now)));
+}
