Fleet: Bound what is remembered of other instances

What callers saw: nothing yet; found while looking for other input that is relied on unchecked. Each address that an update named was remembered for good, and each was sent probes or requests; so was each sender of a request or update, for good or for 90 s. One message with a list of 100,000 addresses made an entry instance send as many probes every 40 to 240 ms.

An instance remembers at most 256 control instances and, as a control instance, 4,096 subscribers, with room for control instances kept apart. Those that have been silent for 5 s (subscribers: 3 s) give way to new ones; seeds and the followed control instance never do. A control instance that was silent for 90 s and is no seed is forgotten. Address 0 and an instance's own are never remembered.

Fleet.ManyAddressesInAMessageTakeBoundedMemory (and a later config still comes into force) and ManySubscribersTakeBoundedMemory pass.

--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -15,6 +15,11 @@
 /// Number of report intervals after which an instance that has just started
 /// considers its registry complete: each backend server has reported by then.
 inline constexpr int kIntervalsUntilSettled = 2;
+/// Another control instance that is neither a seed nor a voter is removed from
+/// the known ones when it was not known to be running for this long.
+inline constexpr Milliseconds kSourceLifetime{5000};
+/// Maximum number of instances that are told of changes.
+inline constexpr std::size_t kMaxSubscribers = 4096;
 
 /// The event being handled: state, time and the effects so far.
 struct ControlContext {
@@ -29,6 +34,10 @@
 /// Counts and logs records that were set aside. Does nothing if there are none.
 void ReportSetAside(ControlContext& context, const SetAsideRecords& records,
                     const std::string& source);
+/// Returns what is known of another control instance, and adds it if it is
+/// new. Returns null for this instance, for address 0, and when there is no
+/// room for a new one.
+RegistrySource* AddSource(ControlContext& context, InstanceAddress address);
 /// Applies an event to the replica and handles the effects. Does nothing while
 /// the disk has failed.
 void RunReplica(ControlContext& context, const ControlEvent& event);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -125,12 +125,17 @@
     MergeServerRecord(instance.registry, record, reported_at);
   }
   instance.settled = !instance.registry.servers.empty();
-  instance.previous_followers.insert(saved.followers().begin(),
-                                     saved.followers().end());
+  for (const InstanceAddress follower : saved.followers()) {
+    if (follower != 0 && instance.previous_followers.size() < kMaxSubscribers) {
+      instance.previous_followers.insert(follower);
+    }
+  }
   instance.saved_followers = instance.previous_followers;
   for (const InstanceAddress other : saved.control_instances()) {
-    instance.sources[other].heard_at = context.now;
-    instance.saved_control_instances.insert(other);
+    if (RegistrySource* source = AddSource(context, other)) {
+      source->heard_at = context.now;
+      instance.saved_control_instances.insert(other);
+    }
   }
   instance.saved_change = instance.registry.change;
 }
@@ -198,6 +203,10 @@
   std::erase_if(instance.subscribers, [&](const auto& item) {
     return context.now - item.second.heard_at > kGoneRetention;
   });
+  std::erase_if(instance.sources, [&](const auto& item) {
+    return !instance.config.seeds.contains(item.first) &&
+           context.now - item.second.heard_at > kGoneRetention;
+  });
 }
 
 void HandlePackedUpdate(ControlContext& context, InstanceAddress from,
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -28,9 +28,6 @@
 /// Interval at which each control instance is sent the list of servers that
 /// reported here.
 constexpr Milliseconds kHeardListInterval{900};
-/// Another control instance that is neither a seed nor a voter is removed from
-/// the known ones when it was not known to be running for this long.
-constexpr Milliseconds kSourceLifetime{5000};
 /// The committed state counts as fresh for this long after it was confirmed as
 /// the newest one.
 constexpr Milliseconds kFreshnessLimit{400};
@@ -98,7 +95,9 @@
     update.add_control_instances(member.instance());
   }
   for (const InstanceAddress standby : ActiveStandbys(instance, context.now)) {
-    update.add_standbys(standby);
+    if (update.standbys_size() < kMaxControlInstances) {
+      update.add_standbys(standby);
+    }
   }
   update.set_data_centre(instance.config.data_centre);
   update.set_rules_version(state.rules().version());
@@ -197,20 +196,78 @@
 /// its rules_status to confirm their rules by a majority.
 void RecordRulesStatus(ControlContext& context, InstanceAddress from,
                        const wire::RulesStatus& rules_status) {
-  RegistrySource& source = context.instance.sources[from];
+  RegistrySource* source = AddSource(context, from);
+  if (source == nullptr) {
+    return;
+  }
   const bool was_unknown =
-      source.rules_status.instance() == 0 ||
-      context.now - source.rules_status_at > kRulesStatusLifetime;
-  source.rules_status = rules_status;
-  source.rules_status.set_instance(from);
-  source.rules_status_at = context.now;
+      source->rules_status.instance() == 0 ||
+      context.now - source->rules_status_at > kRulesStatusLifetime;
+  source->rules_status = rules_status;
+  source->rules_status.set_instance(from);
+  source->rules_status_at = context.now;
   if (was_unknown) {
     SendSummaryToFollowers(context);
   }
 }
 
+/// Adds an address to which requests to join are sent. When there are too many,
+/// those that are no longer known as control instances are dropped first.
+void AddJoinAddress(ControlContext& context, InstanceAddress address) {
+  ControlInstance& instance = context.instance;
+  std::set<InstanceAddress>& addresses =
+      instance.replica.config.control_instances;
+  if (addresses.size() >= kMaxControlInstances) {
+    addresses = OtherControlInstances(instance, context.now);
+  }
+  if (address != instance.config.self) {
+    addresses.insert(address);
+  }
+}
+
+/// Returns whether a request can be handled. Makes room by removing the
+/// subscribers that are no longer active. Some room is left for control
+/// instances.
+bool HasRoomFor(ControlContext& context, InstanceAddress from, bool control) {
+  ControlInstance& instance = context.instance;
+  if (instance.subscribers.contains(from) ||
+      instance.follower_queue.pending.contains(from)) {
+    return true;
+  }
+  const std::size_t limit =
+      kMaxSubscribers + (control ? kMaxControlInstances : 0);
+  if (instance.subscribers.size() >= limit) {
+    std::erase_if(instance.subscribers, [&](const auto& item) {
+      return !IsActive(item.second, context.now);
+    });
+  }
+  return instance.subscribers.size() < limit &&
+         instance.follower_queue.pending.size() < limit;
+}
+
 }  // namespace
 
+RegistrySource* AddSource(ControlContext& context, InstanceAddress address) {
+  ControlInstance& instance = context.instance;
+  if (address == 0 || address == instance.config.self) {
+    return nullptr;
+  }
+  const auto known = instance.sources.find(address);
+  if (known != instance.sources.end()) {
+    return &known->second;
+  }
+  if (instance.sources.size() >= kMaxControlInstances) {
+    std::erase_if(instance.sources, [&](const auto& item) {
+      return !instance.config.seeds.contains(item.first) &&
+             context.now - item.second.heard_at > kSourceLifetime;
+    });
+  }
+  return instance.sources.size() < kMaxControlInstances ||
+                 instance.config.seeds.contains(address)
+             ? &instance.sources[address]
+             : nullptr;
+}
+
 void SendSummaryToFollowers(ControlContext& context) {
   ControlInstance& instance = context.instance;
   std::set<InstanceAddress> followers = ActiveFollowers(instance, context.now);
@@ -287,13 +344,15 @@
   instance.next_subscribe_at = context.now + kSubscribeInterval;
   for (const InstanceAddress other :
        OtherControlInstances(instance, context.now)) {
-    instance.replica.config.control_instances.insert(other);
-    const RegistrySource& source = instance.sources[other];
+    AddJoinAddress(context, other);
+    const RegistrySource* source = AddSource(context, other);
+    const RegistryPosition position =
+        source == nullptr ? RegistryPosition{} : source->position;
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.position.epoch);
-    subscribe.set_registry_change(source.position.change);
+    subscribe.set_registry_epoch(position.epoch);
+    subscribe.set_registry_change(position.change);
     *subscribe.mutable_knowledge() = BuildRulesStatus(instance);
     context.effects.emplace_back(
         SendMessage{.to = other, .message = std::move(message)});
@@ -347,6 +406,9 @@
 void HandleSubscribe(ControlContext& context, InstanceAddress from,
                      const wire::Subscribe& subscribe) {
   HandleOutcomes(context, subscribe.outcomes());
+  if (!HasRoomFor(context, from, subscribe.control())) {
+    return;
+  }
   if (subscribe.has_knowledge()) {
     RecordRulesStatus(context, from, subscribe.knowledge());
   }
@@ -362,18 +424,19 @@
 void HandleUpdate(ControlContext& context, InstanceAddress from,
                   const wire::Update& update) {
   ControlInstance& instance = context.instance;
-  RegistrySource& source = instance.sources[from];
-  source.heard_at = context.now;
-  source.data_centre = update.data_centre();
+  RegistrySource* source = AddSource(context, from);
+  if (source == nullptr) {
+    return;
+  }
+  source->heard_at = context.now;
+  source->data_centre = update.data_centre();
   for (const InstanceAddress address : update.control_instances()) {
     // The leader may not be a seed, and a request to join must reach it.
-    if (address != instance.config.self) {
-      instance.replica.config.control_instances.insert(address);
-    }
+    AddJoinAddress(context, address);
   }
   for (const InstanceAddress address : update.standbys()) {
-    if (address != instance.config.self) {
-      instance.sources[address].heard_at = context.now;
+    if (RegistrySource* standby = AddSource(context, address)) {
+      standby->heard_at = context.now;
     }
   }
   bool changed = false;
@@ -400,15 +463,15 @@
   if (changed || instance.registry.change != before) {
     SchedulePush(context);
   }
-  AdvancePosition(source.position, update);
+  AdvancePosition(source->position, update);
   instance.settled = instance.settled || update.settled();
   RecordRulesStatus(context, from, ExtractRulesStatus(update));
-  if (MayConfirm(source.position, update)) {
+  if (MayConfirm(source->position, update)) {
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.position.epoch);
-    subscribe.set_registry_change(source.position.change);
+    subscribe.set_registry_epoch(source->position.epoch);
+    subscribe.set_registry_change(source->position.change);
     context.effects.emplace_back(
         SendMessage{.to = from, .message = std::move(message)});
   }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -31,6 +31,9 @@
 /// majority: a newer version may have been accepted since.
 constexpr Milliseconds kRulesStatusLifetime{1000};
 constexpr Milliseconds kHousekeepingInterval{1000};
+/// A control instance that is not heard for this long is forgotten when there
+/// is no room for another one.
+constexpr Milliseconds kSourceLifetime{5000};
 /// A timer that is overdue by more than this shows that the process was
 /// suspended or had no processor time.
 constexpr Milliseconds kStallThreshold{300};
@@ -303,10 +306,35 @@
   source.rules_status.set_newest_version(newest);
 }
 
+/// Returns a control instance, and adds it if it is new. Returns null for this
+/// instance, for address 0, and when there is no room: control instances that
+/// have been silent for long are removed, except for seeds and the primary.
+ControlSource* FindOrAddSource(EventContext& context, InstanceAddress address) {
+  EntryInstance& instance = context.instance;
+  if (address == 0 || address == instance.config.self) {
+    return nullptr;
+  }
+  const auto known = instance.sources.find(address);
+  if (known != instance.sources.end()) {
+    return &known->second;
+  }
+  if (instance.sources.size() >= kMaxControlInstances) {
+    std::erase_if(instance.sources, [&](const auto& item) {
+      return item.first != instance.primary &&
+             !instance.config.seeds.contains(item.first) &&
+             context.now - item.second.heard_at > kSourceLifetime;
+    });
+  }
+  return instance.sources.size() < kMaxControlInstances
+             ? &instance.sources[address]
+             : nullptr;
+}
+
 /// Adds a control instance. A new one is probed at once, since it may be in the
 /// own data centre.
 void AddSource(EventContext& context, InstanceAddress address) {
-  if (context.instance.sources.try_emplace(address).second) {
+  const bool is_new = !context.instance.sources.contains(address);
+  if (FindOrAddSource(context, address) != nullptr && is_new) {
     SendProbe(context, address);
   }
 }
@@ -315,6 +343,12 @@
 void HandleUpdate(EventContext& context, InstanceAddress from,
                   const wire::Update& update) {
   EntryInstance& instance = context.instance;
+  ControlSource* sender = FindOrAddSource(context, from);
+  if (sender == nullptr) {
+    return;
+  }
+  ControlSource& source = *sender;
+  source.heard_at = context.now;
   for (const InstanceAddress address : update.control_instances()) {
     AddSource(context, address);
   }
@@ -322,11 +356,11 @@
     AddSource(context, address);
   }
   for (const wire::RulesStatus& other : update.others()) {
-    MergeRelayedStatus(instance.sources[other.instance()], other, context.now);
+    if (ControlSource* relayed = FindOrAddSource(context, other.instance())) {
+      MergeRelayedStatus(*relayed, other, context.now);
+    }
   }
   instance.probe_replies += 1;
-  ControlSource& source = instance.sources[from];
-  source.heard_at = context.now;
   source.data_centre = update.data_centre();
   source.rules_status = ExtractRulesStatus(update);
   source.rules_status_at = context.now;
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -540,3 +540,39 @@
   CHECK_FALSE(
       has_request(Reduce(this->world.controls.at(2), event, this->world.now)));
 }
+
+TEST(Fleet, ManyAddressesInAMessageTakeBoundedMemory) {
+  EntryInstance& entry = this->world.entries.at(kFirstEntry);
+  ControlInstance& control = this->world.controls.at(2);
+  for (InstanceAddress batch = 0; batch < 200; ++batch) {
+    PeerMessage event{.from = 1000000 + batch};
+    wire::Update& update = *event.message.mutable_update();
+    for (InstanceAddress i = 0; i < 200; ++i) {
+      update.add_control_instances(1000 + 200 * batch + i);
+      update.add_standbys(500000 + 200 * batch + i);
+    }
+    Reduce(entry, event, this->world.now);
+    Reduce(control, event, this->world.now);
+  }
+  CHECK(entry.sources.size() <= kMaxControlInstances);
+  CHECK(control.sources.size() <= kMaxControlInstances);
+  CHECK(control.replica.config.control_instances.size() <=
+        2 * kMaxControlInstances);
+  CHECK(SubmitUntilAccepted(this->world, 9));
+  Run(this->world, Milliseconds(1000));
+  for (const auto& [id, other] : this->world.entries) {
+    CHECK_EQUAL(9, VersionAt(this->world, id));
+  }
+}
+
+TEST(Fleet, ManySubscribersTakeBoundedMemory) {
+  ControlInstance& control = this->world.controls.at(2);
+  PeerMessage event;
+  event.message.mutable_subscribe()->set_rules_wanted(true);
+  for (InstanceAddress from = 1000; from < 21000; ++from) {
+    event.from = from;
+    Reduce(control, event, this->world.now);
+  }
+  CHECK(control.subscribers.size() + control.follower_queue.pending.size() <=
+        10000);
+}
