--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -34,6 +34,7 @@
   };
   std::vector<InFlightMessage> messages_in_flight;
   std::map<CallId, AnswerCall> answers;
+  std::string rules_address = "10.0.0.1:80";  ///< Of the submitted rules.
   CallId next_call = 1;
   std::uint64_t next_incarnation = 1000;
 };
@@ -163,7 +164,8 @@
   event.file.set_version(version);
   event.file.set_text("version " + std::to_string(version) +
                       "  # by: test\nservice proof  # by: test\n"
-                      "address 10.0.0.1:80 proof  # by: test\n");
+                      "address " +
+                      world.rules_address + " proof  # by: test\n");
   event.file.set_digest("digest" + std::to_string(version));
   Apply(world, to, event);
   return call;
