--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -68,6 +68,7 @@
 };
 
 struct ControlCounters {
+  InputErrorCounts set_aside;  ///< Records that could not be used.
   std::uint64_t reports = 0;
   std::uint64_t reports_unconfirmed = 0;
   /// Reports that could be read, but are invalid or contradict others.
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -28,9 +28,6 @@
 /// Interval at which each control instance is sent the list of servers that
 /// reported here.
 constexpr Milliseconds kHeardListInterval{900};
-/// Another control instance that is neither a seed nor a voter is removed from
-/// the known ones when it was not known to be running for this long.
-constexpr Milliseconds kSourceLifetime{5000};
 /// The committed state counts as fresh for this long after it was confirmed as
 /// the newest one.
 constexpr Milliseconds kFreshnessLimit{400};
@@ -98,7 +95,9 @@
     update.add_control_instances(member.instance());
   }
   for (const InstanceAddress standby : ActiveStandbys(instance, context.now)) {
-    update.add_standbys(standby);
+    if (update.standbys_size() < kMaxControlInstances) {
+      update.add_standbys(standby);
+    }
   }
   update.set_data_centre(instance.config.data_centre);
   update.set_rules_version(state.rules().version());
@@ -155,17 +154,18 @@
   subscriber.heard_list_sent_at = context.now;
   const Milliseconds lately = kSubscribeInterval * 2;
   for (const auto& [id, server] : context.instance.registry.servers) {
-    if (context.now - server.reported_at <= lately) {
+    if (context.now - server.reported_at <= lately && IsUtf8(id)) {
       update.add_heard(id);
     }
   }
 }
 
 void SendUpdate(ControlContext& context, InstanceAddress to,
-                Subscriber& subscriber) {
+                Subscriber& subscriber, bool position_reset = false) {
   wire::FleetMessage message;
   *message.mutable_update() = MakeUpdate(context, subscriber);
   wire::Update& update = *message.mutable_update();
+  update.set_position_reset(position_reset);
   update.set_confirm(update.partial() ||
                      (subscriber.control && !update.packed_servers().empty()));
   subscriber.next_request_by =
@@ -196,20 +196,78 @@
 /// its rules_status to confirm their rules by a majority.
 void RecordRulesStatus(ControlContext& context, InstanceAddress from,
                        const wire::RulesStatus& rules_status) {
-  RegistrySource& source = context.instance.sources[from];
+  RegistrySource* source = AddSource(context, from);
+  if (source == nullptr) {
+    return;
+  }
   const bool was_unknown =
-      source.rules_status.instance() == 0 ||
-      context.now - source.rules_status_at > kRulesStatusLifetime;
-  source.rules_status = rules_status;
-  source.rules_status.set_instance(from);
-  source.rules_status_at = context.now;
+      source->rules_status.instance() == 0 ||
+      context.now - source->rules_status_at > kRulesStatusLifetime;
+  source->rules_status = rules_status;
+  source->rules_status.set_instance(from);
+  source->rules_status_at = context.now;
   if (was_unknown) {
     SendSummaryToFollowers(context);
   }
 }
 
+/// Adds an address to which requests to join are sent. When there are too many,
+/// those that are no longer known as control instances are dropped first.
+void AddJoinAddress(ControlContext& context, InstanceAddress address) {
+  ControlInstance& instance = context.instance;
+  std::set<InstanceAddress>& addresses =
+      instance.replica.config.control_instances;
+  if (addresses.size() >= kMaxControlInstances) {
+    addresses = OtherControlInstances(instance, context.now);
+  }
+  if (address != instance.config.self) {
+    addresses.insert(address);
+  }
+}
+
+/// Returns whether a request can be handled. Makes room by removing the
+/// subscribers that are no longer active. Some room is left for control
+/// instances.
+bool HasRoomFor(ControlContext& context, InstanceAddress from, bool control) {
+  ControlInstance& instance = context.instance;
+  if (instance.subscribers.contains(from) ||
+      instance.follower_queue.pending.contains(from)) {
+    return true;
+  }
+  const std::size_t limit =
+      kMaxSubscribers + (control ? kMaxControlInstances : 0);
+  if (instance.subscribers.size() >= limit) {
+    std::erase_if(instance.subscribers, [&](const auto& item) {
+      return !IsActive(item.second, context.now);
+    });
+  }
+  return instance.subscribers.size() < limit &&
+         instance.follower_queue.pending.size() < limit;
+}
+
 }  // namespace
 
+RegistrySource* AddSource(ControlContext& context, InstanceAddress address) {
+  ControlInstance& instance = context.instance;
+  if (address == 0 || address == instance.config.self) {
+    return nullptr;
+  }
+  const auto known = instance.sources.find(address);
+  if (known != instance.sources.end()) {
+    return &known->second;
+  }
+  if (instance.sources.size() >= kMaxControlInstances) {
+    std::erase_if(instance.sources, [&](const auto& item) {
+      return !instance.config.seeds.contains(item.first) &&
+             context.now - item.second.heard_at > kSourceLifetime;
+    });
+  }
+  return instance.sources.size() < kMaxControlInstances ||
+                 instance.config.seeds.contains(address)
+             ? &instance.sources[address]
+             : nullptr;
+}
+
 void SendSummaryToFollowers(ControlContext& context) {
   ControlInstance& instance = context.instance;
   std::set<InstanceAddress> followers = ActiveFollowers(instance, context.now);
@@ -286,13 +344,15 @@
   instance.next_subscribe_at = context.now + kSubscribeInterval;
   for (const InstanceAddress other :
        OtherControlInstances(instance, context.now)) {
-    instance.replica.config.control_instances.insert(other);
-    const RegistrySource& source = instance.sources[other];
+    AddJoinAddress(context, other);
+    const RegistrySource* source = AddSource(context, other);
+    const RegistryPosition position =
+        source == nullptr ? RegistryPosition{} : source->position;
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.position.epoch);
-    subscribe.set_registry_change(source.position.change);
+    subscribe.set_registry_epoch(position.epoch);
+    subscribe.set_registry_change(position.change);
     *subscribe.mutable_knowledge() = BuildRulesStatus(instance);
     context.effects.emplace_back(
         SendMessage{.to = other, .message = std::move(message)});
@@ -307,8 +367,13 @@
   ControlInstance& instance = context.instance;
   const bool known_epoch =
       subscribe.registry_epoch() == instance.config.incarnation;
+  // A position beyond the newest change was not received from this registry, so
+  // it says nothing about which records the sender has.
+  const bool impossible =
+      known_epoch && subscribe.registry_change() > instance.registry.change;
   Subscriber& subscriber = instance.subscribers[from];
-  const std::uint64_t change = known_epoch ? subscribe.registry_change() : 0;
+  const std::uint64_t change =
+      known_epoch && !impossible ? subscribe.registry_change() : 0;
   const bool is_confirmation =
       known_epoch && change > subscriber.registry_change;
   subscriber = Subscriber{.rules_version = subscribe.rules_version(),
@@ -322,7 +387,7 @@
   if (subscribe.control() && is_confirmation && complete) {
     return;  // The request only confirms an update, and nothing is missing.
   }
-  SendUpdate(context, from, subscriber);
+  SendUpdate(context, from, subscriber, impossible);
 }
 
 }  // namespace
@@ -341,6 +406,9 @@
 void HandleSubscribe(ControlContext& context, InstanceAddress from,
                      const wire::Subscribe& subscribe) {
   HandleOutcomes(context, subscribe.outcomes());
+  if (!HasRoomFor(context, from, subscribe.control())) {
+    return;
+  }
   if (subscribe.has_knowledge()) {
     RecordRulesStatus(context, from, subscribe.knowledge());
   }
@@ -356,18 +424,19 @@
 void HandleUpdate(ControlContext& context, InstanceAddress from,
                   const wire::Update& update) {
   ControlInstance& instance = context.instance;
-  RegistrySource& source = instance.sources[from];
-  source.heard_at = context.now;
-  source.data_centre = update.data_centre();
+  RegistrySource* source = AddSource(context, from);
+  if (source == nullptr) {
+    return;
+  }
+  source->heard_at = context.now;
+  source->data_centre = update.data_centre();
   for (const InstanceAddress address : update.control_instances()) {
     // The leader may not be a seed, and a request to join must reach it.
-    if (address != instance.config.self) {
-      instance.replica.config.control_instances.insert(address);
-    }
+    AddJoinAddress(context, address);
   }
   for (const InstanceAddress address : update.standbys()) {
-    if (address != instance.config.self) {
-      instance.sources[address].heard_at = context.now;
+    if (RegistrySource* standby = AddSource(context, address)) {
+      standby->heard_at = context.now;
     }
   }
   bool changed = false;
@@ -382,8 +451,7 @@
     record.set_silent(silent &&
                       known->second.record.sequence() == record.sequence());
     PreserveFailingState(instance.registry, record);
-    if (CheckServerRecord(record).empty() &&
-        MergeServerRecord(instance.registry, record, context.now)) {
+    if (MergeServerRecord(instance.registry, record, context.now)) {
       changed = true;
       LogServer(context, record, FormatIp(from));
     }
@@ -395,15 +463,15 @@
   if (changed || instance.registry.change != before) {
     SchedulePush(context);
   }
-  AdvancePosition(source.position, update);
+  AdvancePosition(source->position, update);
   instance.settled = instance.settled || update.settled();
   RecordRulesStatus(context, from, ExtractRulesStatus(update));
-  if (update.confirm()) {
+  if (MayConfirm(source->position, update)) {
     wire::FleetMessage message;
     wire::Subscribe& subscribe = *message.mutable_subscribe();
     subscribe.set_control(true);
-    subscribe.set_registry_epoch(source.position.epoch);
-    subscribe.set_registry_change(source.position.change);
+    subscribe.set_registry_epoch(source->position.epoch);
+    subscribe.set_registry_change(source->position.change);
     context.effects.emplace_back(
         SendMessage{.to = from, .message = std::move(message)});
   }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -31,6 +31,9 @@
 /// majority: a newer version may have been accepted since.
 constexpr Milliseconds kRulesStatusLifetime{1000};
 constexpr Milliseconds kHousekeepingInterval{1000};
+/// A control instance that is not heard for this long is forgotten when there
+/// is no room for another one.
+constexpr Milliseconds kSourceLifetime{5000};
 /// A timer that is overdue by more than this shows that the process was
 /// suspended or had no processor time.
 constexpr Milliseconds kStallThreshold{300};
@@ -82,7 +85,8 @@
   source.contents_requested_at = context.now;
   wire::FleetMessage message;
   wire::Subscribe& subscribe = *message.mutable_subscribe();
-  subscribe.set_rules_version(instance.forwarder.routes.version);
+  subscribe.set_rules_version(
+      instance.all_routes_wanted ? 0 : instance.forwarder.routes.version);
   subscribe.set_rules_wanted(true);
   subscribe.set_registry_epoch(source.position.epoch);
   subscribe.set_registry_change(source.position.change);
@@ -196,8 +200,7 @@
   EntryInstance& instance = context.instance;
   bool changed = false;
   for (const wire::ServerRecord& record : update.servers()) {
-    if (!CheckServerRecord(record).empty() ||
-        !MergeServerRecord(instance.registry, record, context.now)) {
+    if (!MergeServerRecord(instance.registry, record, context.now)) {
       continue;
     }
     changed = true;
@@ -303,17 +306,49 @@
   source.rules_status.set_newest_version(newest);
 }
 
+/// Returns a control instance, and adds it if it is new. Returns null for this
+/// instance, for address 0, and when there is no room: control instances that
+/// have been silent for long are removed, except for seeds and the primary.
+ControlSource* FindOrAddSource(EventContext& context, InstanceAddress address) {
+  EntryInstance& instance = context.instance;
+  if (address == 0 || address == instance.config.self) {
+    return nullptr;
+  }
+  const auto known = instance.sources.find(address);
+  if (known != instance.sources.end()) {
+    return &known->second;
+  }
+  if (instance.sources.size() >= kMaxControlInstances) {
+    std::erase_if(instance.sources, [&](const auto& item) {
+      return item.first != instance.primary &&
+             !instance.config.seeds.contains(item.first) &&
+             context.now - item.second.heard_at > kSourceLifetime;
+    });
+  }
+  return instance.sources.size() < kMaxControlInstances
+             ? &instance.sources[address]
+             : nullptr;
+}
+
 /// Adds a control instance. A new one is probed at once, since it may be in the
 /// own data centre.
 void AddSource(EventContext& context, InstanceAddress address) {
-  if (context.instance.sources.try_emplace(address).second) {
+  const bool is_new = !context.instance.sources.contains(address);
+  if (FindOrAddSource(context, address) != nullptr && is_new) {
     SendProbe(context, address);
   }
 }
 
+/// Precondition: `update` was returned by `ReadUpdate`.
 void HandleUpdate(EventContext& context, InstanceAddress from,
                   const wire::Update& update) {
   EntryInstance& instance = context.instance;
+  ControlSource* sender = FindOrAddSource(context, from);
+  if (sender == nullptr) {
+    return;
+  }
+  ControlSource& source = *sender;
+  source.heard_at = context.now;
   for (const InstanceAddress address : update.control_instances()) {
     AddSource(context, address);
   }
@@ -321,11 +356,11 @@
     AddSource(context, address);
   }
   for (const wire::RulesStatus& other : update.others()) {
-    MergeRelayedStatus(instance.sources[other.instance()], other, context.now);
+    if (ControlSource* relayed = FindOrAddSource(context, other.instance())) {
+      MergeRelayedStatus(*relayed, other, context.now);
+    }
   }
   instance.probe_replies += 1;
-  ControlSource& source = instance.sources[from];
-  source.heard_at = context.now;
   source.data_centre = update.data_centre();
   source.rules_status = ExtractRulesStatus(update);
   source.rules_status_at = context.now;
@@ -347,7 +382,7 @@
       instance.primary_fresh_at = context.now;
     }
   }
-  if (update.confirm()) {
+  if (MayConfirm(source.position, update)) {
     SendSubscribe(context, from);
   }
   UpdateServingState(context);
@@ -385,12 +420,17 @@
       return;
     }
     wire::Update update = event.message.update();
-    if (UnpackUpdate(update)) {
-      HandleUpdate(this->context, event.from, update);
-    } else {
-      Log(this->context, EventId::kMalformedInput,
-          "malformed update from " + FormatIp(event.from), Severity::kWarning);
+    const bool sent_routes = !update.packed_routes().empty();
+    const SetAsideRecords set_aside = ReadUpdate(update);
+    if (sent_routes) {
+      this->context.instance.all_routes_wanted = !update.has_routes();
+    }
+    if (set_aside.total > 0) {
+      AddCounts(this->context.instance.set_aside, set_aside);
+      Log(this->context, EventId::kRecordSetAside,
+          FormatSetAside(set_aside, FormatIp(event.from)), Severity::kWarning);
     }
+    HandleUpdate(this->context, event.from, update);
   }
   void operator()(const EntryStopRequested&) {
     EntryInstance& instance = this->context.instance;
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -461,3 +461,137 @@
   Reduce(entry, make_update(1, 5), now + Milliseconds(100));
   CHECK(IsReady(entry));
 }
+
+TEST(Fleet, ServerIdThatIsNoTextHidesNoLaterConfigAndNoLaterServer) {
+  // As of an earlier build, whose calls accept it.
+  wire::ServerRecord record;
+  record.set_id("i-\xff\xfe");
+  record.set_service("proof");
+  record.set_ip(7);
+  record.set_port(80);
+  record.set_slots(2);
+  record.set_incarnation(1);
+  for (auto& [id, control] : this->world.controls) {
+    MergeServerRecord(control.registry, record, this->world.now);
+  }
+  CHECK(SubmitUntilAccepted(this->world, 9));
+  const CallId call = Report(this->world, 1, "a1", 2, wire::SERVER_DRAINING);
+  Run(this->world, Milliseconds(100));
+  CHECK(IsAccepted(this->world, call));
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK_EQUAL(9, VersionAt(this->world, id));
+    CHECK_FALSE(IsUsableAt(this->world, id, "a1"));
+    CHECK(IsUsableAt(this->world, id, "a2"));
+  }
+}
+
+TEST(Fleet, StoredServerIdThatIsNoTextHidesNoOtherStoredServer) {
+  wire::SavedRegistry saved = this->world.saved[1];
+  LONGS_EQUAL(2, saved.servers_size());
+  *saved.add_servers() = saved.servers(0);
+  saved.mutable_servers(0)->set_id("i-\xff\xfe");
+  const std::string file = saved.SerializeAsString();
+  wire::SavedRegistry read;
+  CHECK(read.ParseFromString(file));
+  ControlInstance instance = MakeControlInstance(
+      MakeInstanceConfig(this->world, 1), this->world.disks[1]);
+  Reduce(instance, ControlInstanceStarted{.saved = read}, this->world.now);
+  CHECK(instance.registry.servers.contains("a1"));
+  CHECK(instance.registry.servers.contains("a2"));
+  LONGS_EQUAL(2, instance.registry.servers.size());
+  CHECK_EQUAL(1, instance.counters.set_aside.Get(InputError::kNotUtf8));
+}
+
+TEST(Fleet, PositionBeyondTheRegistryHidesNoLaterServer) {
+  for (auto& [id, entry] : this->world.entries) {
+    for (auto& [address, source] : entry.sources) {
+      source.position.change = UINT64_MAX;
+    }
+  }
+  for (auto& [id, control] : this->world.controls) {
+    for (auto& [address, source] : control.sources) {
+      source.position.change = UINT64_MAX;
+    }
+  }
+  Run(this->world, Milliseconds(1500));
+  const CallId call = Report(this->world, 1, "a1", 2, wire::SERVER_DRAINING);
+  Run(this->world, Milliseconds(100));
+  CHECK(IsAccepted(this->world, call));
+  for (const auto& [id, entry] : this->world.entries) {
+    CHECK_FALSE(IsUsableAt(this->world, id, "a1"));
+  }
+}
+
+TEST(Fleet, PositionBeyondTheRegistryConfirmsNoLeavingServer) {
+  this->world.is_lost = [](InstanceAddress from, InstanceAddress to) {
+    return from == 3 || to == 3;
+  };
+  const CallId call = Report(this->world, 3, "a1", 2, wire::SERVER_DRAINING);
+  PeerMessage event{.from = 2};
+  wire::Subscribe& subscribe = *event.message.mutable_subscribe();
+  subscribe.set_control(true);
+  subscribe.set_registry_epoch(this->world.controls.at(3).config.incarnation);
+  subscribe.set_registry_change(UINT64_MAX);
+  Apply(this->world, 3, ControlInstanceEvent(event));
+  CHECK_FALSE(IsAccepted(this->world, call));
+}
+
+TEST(Fleet, PartialUpdateWithoutRecordsStartsNoLoop) {
+  PeerMessage event{.from = 1};
+  wire::Update& update = *event.message.mutable_update();
+  update.set_confirm(true);
+  update.set_partial(true);
+  update.set_registry_epoch(this->world.controls.at(1).config.incarnation);
+  const auto has_request = [](const auto& effects) {
+    for (const auto& effect : effects) {
+      const auto* send = std::get_if<SendMessage>(&effect);
+      if (send != nullptr && send->message.has_subscribe()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  update.set_registry_from(UINT64_MAX);
+  update.set_registry_change(UINT64_MAX);
+  for (auto& [id, entry] : this->world.entries) {
+    CHECK_FALSE(has_request(Reduce(entry, event, this->world.now)));
+  }
+  CHECK_FALSE(
+      has_request(Reduce(this->world.controls.at(2), event, this->world.now)));
+}
+
+TEST(Fleet, ManyAddressesInAMessageTakeBoundedMemory) {
+  EntryInstance& entry = this->world.entries.at(kFirstEntry);
+  ControlInstance& control = this->world.controls.at(2);
+  for (InstanceAddress batch = 0; batch < 200; ++batch) {
+    PeerMessage event{.from = 1000000 + batch};
+    wire::Update& update = *event.message.mutable_update();
+    for (InstanceAddress i = 0; i < 200; ++i) {
+      update.add_control_instances(1000 + 200 * batch + i);
+      update.add_standbys(500000 + 200 * batch + i);
+    }
+    Reduce(entry, event, this->world.now);
+    Reduce(control, event, this->world.now);
+  }
+  CHECK(entry.sources.size() <= kMaxControlInstances);
+  CHECK(control.sources.size() <= kMaxControlInstances);
+  CHECK(control.replica.config.control_instances.size() <=
+        2 * kMaxControlInstances);
+  CHECK(SubmitUntilAccepted(this->world, 9));
+  Run(this->world, Milliseconds(1000));
+  for (const auto& [id, other] : this->world.entries) {
+    CHECK_EQUAL(9, VersionAt(this->world, id));
+  }
+}
+
+TEST(Fleet, ManySubscribersTakeBoundedMemory) {
+  ControlInstance& control = this->world.controls.at(2);
+  PeerMessage event;
+  event.message.mutable_subscribe()->set_rules_wanted(true);
+  for (InstanceAddress from = 1000; from < 21000; ++from) {
+    event.from = from;
+    Reduce(control, event, this->world.now);
+  }
+  CHECK(control.subscribers.size() + control.follower_queue.pending.size() <=
+        10000);
+}
