Shell: Keep bytes behind an unanswered call until the answer

Callers that sent a second order on a connection before the first was answered got no answer: the control instance ended with status 1.

Cause: to notice the close of a caller's connection, HttpServer enables reading while a call is unanswered. libevent's read callback was still set, and that callback ends the process when bytes arrive between a request and its answer ("evhttp_read_cb: illegal connection state 7").

The read callback is now taken away until the answer, as libevent does itself while it writes one.

Before: HttpServer.RequestBehindAnUnansweredOneIsAnsweredInItsTurn and BytesBehindAnUnansweredRequestAreBounded ended the test program with the message above. The tests of the close of a connection, of pipelined requests and of a kept connection passed before, too.

--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -11,6 +11,9 @@
 /// A connection without reads or writes for this long is closed.
 constexpr std::chrono::seconds kIdleTimeout{30};
 
+/// Bytes that a caller may send ahead while its request is unanswered.
+constexpr std::size_t kMaxBytesAhead = kMaxHeaderBytes;
+
 constexpr int kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                             EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                             EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
@@ -28,6 +31,19 @@
   return result;
 }
 
+/// Watches for the close of the connection of an unanswered request. Further
+/// bytes are kept for later: libevent ends the process when its read callback
+/// is called between a request and the answer.
+void WatchForClose(bufferevent* stream) {
+  bufferevent_data_cb write = nullptr;
+  bufferevent_event_cb event = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(stream, nullptr, &write, &event, &argument);
+  bufferevent_setcb(stream, nullptr, write, event, argument);
+  bufferevent_setwatermark(stream, EV_READ, 0, kMaxBytesAhead);
+  bufferevent_enable(stream, EV_READ);
+}
+
 }  // namespace
 
 HttpServer::HttpServer(event_base* event_loop)
@@ -58,8 +74,7 @@
   entry = PendingRequest{.server = &server, .id = id, .request = request};
   evhttp_connection* connection = evhttp_request_get_connection(request);
   evhttp_connection_set_closecb(connection, &HttpServer::OnClosed, &entry);
-  // A closed connection is detected only while reading is enabled.
-  bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+  WatchForClose(evhttp_connection_get_bufferevent(connection));
   server.on_request.emit(id, ReadRequest(request));
 }
 
@@ -75,8 +90,10 @@
     return;
   }
   evhttp_request* request = found->second.request;
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
-                                nullptr);
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                           EV_READ, 0, 0);
   this->pending.erase(found);
   evkeyvalq* fields = evhttp_request_get_output_headers(request);
   for (const wire::HeaderField& field : answer.headers()) {
