Shell: Free calls whose callers have left

Processes grew by each call whose caller closed the connection before the answer, by its head of up to 16 KiB, until the limit of their memory. One that stopped while a call was unanswered read memory that it had freed.

Cause: libevent detaches an unanswered request from a connection that is closed and leaves it to the program, which never freed it. The destructor dropped the list of unanswered requests before libevent's connections, whose close callback points into it.

Detached requests are freed in the close callback, and the destructor takes the callbacks away first.

--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -56,7 +56,10 @@
 }
 
 HttpServer::~HttpServer() {
-  this->pending.clear();
+  for (const auto& [id, entry] : this->pending) {
+    evhttp_connection_set_closecb(evhttp_request_get_connection(entry.request),
+                                  nullptr, nullptr);
+  }
   evhttp_free(this->http);
 }
 
@@ -81,6 +84,10 @@
 void HttpServer::OnClosed(evhttp_connection*, void* pending) {
   const PendingRequest entry = *static_cast<PendingRequest*>(pending);
   entry.server->pending.erase(entry.id);
+  // A request that libevent has detached from its connection is ours.
+  if (evhttp_request_get_connection(entry.request) == nullptr) {
+    evhttp_request_free(entry.request);
+  }
   entry.server->on_caller_disconnected.emit(entry.id);
 }
 
--- a/Tests/Shell/HttpServerTest.cc
+++ b/Tests/Shell/HttpServerTest.cc
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <chrono>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <string>
@@ -76,6 +78,11 @@
     }
     this->stream = -1;
   }
+  void Reset() {
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(this->stream, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    this->Close();
+  }
   /// Returns how often a text was received.
   int Count(const std::string& text) const {
     int count = 0;
@@ -156,6 +163,11 @@
   std::string body = "ok";
 };
 
+int CountDescriptors() {
+  return static_cast<int>(
+      std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {}));
+}
+
 const std::string kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 const std::string kPost =
     "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nxyz";
@@ -235,3 +247,55 @@
   }
   CHECK(!caller.closed);
 }
+
+TEST(HttpServer, RequestCutAtEachByteLeavesNothingBehind) {
+  const std::string request =
+      "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nxyz\r\n0\r\nA: b\r\n\r\n";
+  const int before = CountDescriptors();
+  this->site.answers_at_once = false;
+  for (std::size_t length = 0; length <= request.size(); ++length) {
+    Caller closes(this->site.port);
+    Caller resets(this->site.port);
+    closes.Send(request.substr(0, length));
+    resets.Send(request.substr(0, length));
+    this->site.RunFor(std::chrono::milliseconds(2));
+    closes.Close();
+    resets.Reset();
+  }
+  CHECK(this->site.RunUntil([&] { return CountDescriptors() == before; }));
+  LONGS_EQUAL(2, this->site.seen.size());
+  LONGS_EQUAL(2, this->site.disconnected.size());
+}
+
+TEST(HttpServer, CallsThatTheirCallersLeftOccupyNoMemory) {
+  this->site.answers_at_once = false;
+  constexpr std::size_t kFieldBytes = 12000;
+  constexpr int kMany = 200;
+  const std::string field = "A: " + std::string(kFieldBytes, 'a') + "\r\n";
+  const auto leave = [&](int times) {
+    for (int i = 0; i < times; ++i) {
+      Caller caller(this->site.port);
+      caller.Send("GET /a HTTP/1.1\r\n" + field + "\r\n");
+      CHECK(this->site.RunUntil([&] { return this->site.seen.size() == 1; }));
+      caller.Close();
+      CHECK(this->site.RunUntil(
+          [&] { return this->site.disconnected.size() == 1; }));
+      this->site.seen.clear();
+      this->site.disconnected.clear();
+    }
+  };
+  leave(kMany);
+  const std::size_t before = mallinfo2().uordblks;
+  leave(kMany);
+  CHECK(mallinfo2().uordblks < before + kMany * kFieldBytes / 2);
+}
+
+TEST(HttpServer, ServerThatEndsWithUnansweredRequestsFreesThem) {
+  this->site.answers_at_once = false;
+  Caller caller(this->site.port);
+  caller.Send(kPost + kPost);
+  CHECK(this->site.RunUntil([&] { return this->site.seen.size() == 1; }));
+  this->site.server.reset();
+  LONGS_EQUAL(0, this->site.disconnected.size());
+}
