Shell: Refuse requests whose length or target is ambiguous

A request with two lengths, or with a length beside a transfer coding, was served by one of them, and the bytes behind it as a request of their own. The same was true of the body of a GET, HEAD, DELETE or OPTIONS, which libevent doesn't read. A target with a bare CR went into the Location of a redirect, and "Content-Length : 3" counted as another field.

Cause: libevent takes the first Content-Length, prefers "chunked" to it, ignores other codings, and takes all bytes up to the last space of the first line as the target; HttpServer checked nothing of this.

Such requests are now answered with 400 and their connection is closed (RFC 9112, sections 6.3 and 5.1). A request with a body that is not read is answered, and then its connection is closed.

Before, AmbiguousLengthsAreRefusedAndNothingBehindThemIsServed saw 200 and 400, BytesOfAnUnreadBodyAreNoRequest two answers with 200, and OddRequestsAreRefused a 200 for "GET /a CR b". Now they pass. The tests of limits, of odd and unusual requests otherwise, and of 100-continue passed before, too.

--- a/Source/Shell/HttpFields.cc
+++ b/Source/Shell/HttpFields.cc
@@ -3,7 +3,9 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 #include <utility>
 
 #include "Base/Text.h"
@@ -22,6 +24,44 @@
     {EVHTTP_REQ_PATCH, "PATCH"},
 }};
 
+/// Returns the values of the fields of a name.
+std::vector<std::string_view> FindFields(evhttp_request* request,
+                                         std::string_view name) {
+  std::vector<std::string_view> values;
+  const evkeyvalq* fields = evhttp_request_get_input_headers(request);
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    if (EqualsIgnoringCase(field->key, name)) {
+      values.emplace_back(field->value);
+    }
+  }
+  return values;
+}
+
+/// Returns whether a text has no spaces or control characters.
+bool IsGraphic(std::string_view text) {
+  constexpr unsigned char kDelete = 0x7F;
+  return std::ranges::none_of(text, [](unsigned char letter) {
+    return letter <= ' ' || letter == kDelete;
+  });
+}
+
+bool HasGraphicNames(const evkeyvalq* fields) {
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    if (!IsGraphic(field->key)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char letter) {
+    return letter >= '0' && letter <= '9';
+  });
+}
+
 }  // namespace
 
 std::string ExtractBody(evbuffer* buffer) {
@@ -57,6 +97,33 @@
   return copies;
 }
 
+bool IsWellFormed(evhttp_request* request) {
+  if (!IsGraphic(evhttp_request_get_uri(request)) ||
+      !HasGraphicNames(evhttp_request_get_input_headers(request))) {
+    return false;
+  }
+  const auto lengths = FindFields(request, "Content-Length");
+  const auto encodings = FindFields(request, "Transfer-Encoding");
+  if (!encodings.empty()) {
+    return lengths.empty() && encodings.size() == 1 &&
+           EqualsIgnoringCase(encodings.front(), "chunked");
+  }
+  return std::ranges::all_of(lengths, [&](std::string_view length) {
+    return IsNumber(length) && length == lengths.front();
+  });
+}
+
+bool HasUnreadBody(evhttp_request* request) {
+  const evhttp_cmd_type method = evhttp_request_get_command(request);
+  if (method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT ||
+      method == EVHTTP_REQ_PATCH) {
+    return false;
+  }
+  const auto lengths = FindFields(request, "Content-Length");
+  return !FindFields(request, "Transfer-Encoding").empty() ||
+         (!lengths.empty() && lengths.front() != "0");
+}
+
 std::string MethodName(evhttp_cmd_type method) {
   for (const auto& [type, name] : kMethods) {
     if (type == method) {
--- a/Source/Shell/HttpFields.h
+++ b/Source/Shell/HttpFields.h
@@ -27,6 +27,16 @@
 /// Returns copies of the end-to-end fields.
 std::vector<wire::HeaderField> ReadEndToEndFields(const evkeyvalq* fields);
 
+/// Returns whether a request's target and the names of its fields have no
+/// spaces or control characters, and its fields state one length of the body.
+/// Other requests may be read in another way by another server (RFC 9112,
+/// section 6.3).
+bool IsWellFormed(evhttp_request* request);
+
+/// Returns whether a request states a body that libevent has not read because
+/// of its method.
+bool HasUnreadBody(evhttp_request* request);
+
 /// Returns an empty string for an unknown method.
 std::string MethodName(evhttp_cmd_type method);
 /// Returns GET for an unknown name.
--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -14,6 +14,8 @@
 /// Bytes that a caller may send ahead while its request is unanswered.
 constexpr std::size_t kMaxBytesAhead = kMaxHeaderBytes;
 
+constexpr std::uint32_t kBadRequest = 400;
+
 constexpr int kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                             EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                             EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
@@ -78,6 +80,14 @@
   evhttp_connection* connection = evhttp_request_get_connection(request);
   evhttp_connection_set_closecb(connection, &HttpServer::OnClosed, &entry);
   WatchForClose(evhttp_connection_get_bufferevent(connection));
+  entry.ends_connection = HasUnreadBody(request);
+  if (!IsWellFormed(request)) {
+    entry.ends_connection = true;
+    wire::Answer answer;
+    answer.set_status(kBadRequest);
+    server.Answer(id, answer);
+    return;
+  }
   server.on_request.emit(id, ReadRequest(request));
 }
 
@@ -101,12 +111,13 @@
   evhttp_connection_set_closecb(connection, nullptr, nullptr);
   bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
                            EV_READ, 0, 0);
+  const bool ends_connection = found->second.ends_connection;
   this->pending.erase(found);
   evkeyvalq* fields = evhttp_request_get_output_headers(request);
   for (const wire::HeaderField& field : answer.headers()) {
     evhttp_add_header(fields, field.name().c_str(), field.value().c_str());
   }
-  if (this->closing) {
+  if (this->closing || ends_connection) {
     evhttp_add_header(fields, "Connection", "close");
   }
   evbuffer* body = evbuffer_new();
--- a/Source/Shell/HttpServer.h
+++ b/Source/Shell/HttpServer.h
@@ -42,6 +42,7 @@
     HttpServer* server = nullptr;
     std::uint64_t id = 0;
     evhttp_request* request = nullptr;
+    bool ends_connection = false;  ///< Closed after the answer.
   };
 
   static void OnRequest(evhttp_request* request, void* self);
--- a/Tests/Shell/HttpServerTest.cc
+++ b/Tests/Shell/HttpServerTest.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Shell/HttpFields.h"
 #include "Shell/HttpServer.h"
 
 #include <CppUTest/TestHarness.h>
@@ -153,6 +154,17 @@
     return condition();
   }
 
+  /// Sends bytes on a connection of their own and returns all that is received
+  /// until the server closes it.
+  std::string Exchange(const std::string& bytes) {
+    Caller caller(this->port);
+    this->callers.push_back(&caller);
+    caller.Send(bytes);
+    this->RunUntil([&] { return caller.closed; }, std::chrono::seconds(1));
+    this->callers.pop_back();
+    return caller.received;
+  }
+
   event_base* base;
   std::uint16_t port = FindFreePort();
   std::unique_ptr<HttpServer> server;
@@ -163,6 +175,25 @@
   std::string body = "ok";
 };
 
+/// Returns the status codes of all answers in what was received.
+std::string Statuses(const std::string& received) {
+  std::string statuses;
+  const std::string start = "HTTP/1.1 ";
+  for (std::size_t at = received.find(start); at != std::string::npos;
+       at = received.find(start, at + 1)) {
+    statuses += received.substr(at + start.size(), 3) + " ";
+  }
+  return statuses;
+}
+
+std::string Repeat(const std::string& text, int times) {
+  std::string repeated;
+  for (int i = 0; i < times; ++i) {
+    repeated += text;
+  }
+  return repeated;
+}
+
 int CountDescriptors() {
   return static_cast<int>(
       std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {}));
@@ -299,3 +330,128 @@
   this->site.server.reset();
   LONGS_EQUAL(0, this->site.disconnected.size());
 }
+
+TEST(HttpServer, AmbiguousLengthsAreRefusedAndNothingBehindThemIsServed) {
+  const std::string start = "POST /b HTTP/1.1\r\nHost: x\r\n";
+  const std::string body = "\r\n3\r\nxyz\r\n0\r\n\r\n" + kGet;
+  for (const std::string& fields : std::vector<std::string>{
+           "Content-Length: 3\r\nContent-Length: 30\r\n",
+           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+           "Transfer-Encoding: gzip, chunked\r\n",
+           "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: identity\r\n", "Content-Length: +3\r\n",
+           "Content-Length: -3\r\n", "Content-Length: 3, 3\r\n",
+           "Content-Length: 0x3\r\n", "Content-Length:\r\n",
+           "Content-Length : 3\r\nContent-Length: 4\r\n"}) {
+    const std::string received = this->site.Exchange(start + fields + body);
+    STRCMP_EQUAL_TEXT("400 ", Statuses(received).c_str(), fields.c_str());
+  }
+  LONGS_EQUAL(0, this->site.seen.size());
+}
+
+TEST(HttpServer, BytesOfAnUnreadBodyAreNoRequest) {
+  for (const char* method : {"GET", "HEAD", "DELETE", "OPTIONS"}) {
+    this->site.seen.clear();
+    const std::string received = this->site.Exchange(
+        std::string(method) + " /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+        std::to_string(kGet.size()) + "\r\n\r\n" + kGet);
+    STRCMP_EQUAL_TEXT("200 ", Statuses(received).c_str(), method);
+    LONGS_EQUAL(1, this->site.seen.size());
+  }
+}
+
+TEST(HttpServer, TooLargeRequestsAreRefused) {
+  const std::string post = "POST /b HTTP/1.1\r\nHost: x\r\n";
+  const std::string huge(kMaxHeaderBytes + 1, 'a');
+  struct Case {
+    std::string request;
+    std::string statuses;
+  };
+  for (const auto& [request, statuses] : std::vector<Case>{
+           {"GET /" + huge + " HTTP/1.1\r\n\r\n", "400 "},
+           {"GET /" + huge, "400 "},
+           {post + "A: " + huge + "\r\n\r\n", "400 "},
+           {post + "A: " + huge, "400 "},
+           {post + Repeat("A: b\r\n", kMaxHeaderBytes / 4) + "\r\n", "400 "},
+           {post + "Content-Length: 4194305\r\n\r\n", "413 "},
+           {post + "Content-Length: 9223372036854775807\r\n\r\n", "413 "},
+           {post + "Content-Length: 99999999999999999999999\r\n\r\n", "413 "},
+           {post + "Transfer-Encoding: chunked\r\n\r\n400001\r\n", "413 "},
+           {post + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n",
+            "413 "}}) {
+    const std::string received = this->site.Exchange(request);
+    STRCMP_EQUAL_TEXT(statuses.c_str(), Statuses(received).c_str(),
+                      request.substr(0, 90).c_str());
+  }
+  LONGS_EQUAL(0, this->site.seen.size());
+}
+
+TEST(HttpServer, LargestBodyIsAccepted) {
+  const std::string body(kMaxBodyBytes, 'a');
+  Caller caller(this->site.port);
+  this->site.callers = {&caller};
+  caller.Send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  CHECK(this->site.RunUntil([&] { return caller.Count("200 OK") == 1; }));
+  LONGS_EQUAL(body.size(), this->site.seen.at(0).request.body.size());
+}
+
+TEST(HttpServer, OddRequestsAreRefused) {
+  const std::string post = "POST /b HTTP/1.1\r\nHost: x\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case {
+    std::string request;
+    std::string statuses;
+  };
+  const std::string nul(1, '\0');
+  for (const auto& [request, statuses] : std::vector<Case>{
+           {"BREW /pot HTTP/1.1\r\nHost: x\r\n\r\n", "501 "},
+           {"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n", "501 "},
+           {"GET /a\r\n\r\n", "400 "},
+           {"GET\r\n\r\n", "400 "},
+           {"\r\n\r\n", "400 "},
+           {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "400 "},
+           {"GET /a HTTP/9.9\r\n\r\n", "400 "},
+           {"GET /a" + nul + "b HTTP/1.1\r\n\r\n", "400 "},
+           {nul + nul + "\r\n\r\n", "400 "},
+           {"GET /a\r b HTTP/1.1\r\nHost: x\r\n\r\n", "400 "},
+           {"GET /a\tb HTTP/1.1\r\nHost: x\r\n\r\n", "400 "},
+           {"GET /a\x7f HTTP/1.1\r\nHost: x\r\n\r\n", "400 "},
+           {"GET /a HTTP/1.1\r\nnothing\r\n\r\n", "400 "},
+           {"GET /a HTTP/1.1\r\nA b: c\r\n\r\n", "400 "},
+           {"GET /a HTTP/1.1\r\nA : c\r\n\r\n", "400 "},
+           {"GET /a HTTP/1.1\r\nA" + nul + ": c\r\n\r\n", "400 "},
+           {post + "Expect: the-unexpected\r\nContent-Length: 3\r\n\r\nxyz",
+            "417 "},
+           {chunked + "-1\r\n", "413 "},
+           {chunked + "xyz\r\n", "413 "}}) {
+    const std::string received = this->site.Exchange(request);
+    STRCMP_EQUAL_TEXT(statuses.c_str(), Statuses(received).c_str(),
+                      request.c_str());
+  }
+  LONGS_EQUAL(0, this->site.seen.size());
+}
+
+TEST(HttpServer, UnusualRequestsAreServed) {
+  const std::string end = " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  for (const std::string& request : std::vector<std::string>{
+           "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", "OPTIONS *" + end,
+           "GET /\xff\xfe" + end, "GET /a\xc3\xa9" + end,
+           "GET /" + std::string(8192, 'a') + end, "GET //a" + end,
+           "GET /%00%0d%0a" + end}) {
+    const std::string received = this->site.Exchange(request);
+    STRCMP_EQUAL_TEXT("200 ", Statuses(received).c_str(), request.c_str());
+  }
+}
+
+TEST(HttpServer, ExpectedContinueIsSent) {
+  Caller caller(this->site.port);
+  this->site.callers = {&caller};
+  caller.Send(
+      "POST /b HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+      "Content-Length: 3\r\n\r\n");
+  CHECK(this->site.RunUntil([&] { return caller.Count("100 Continue") == 1; }));
+  caller.Send("xyz");
+  CHECK(this->site.RunUntil([&] { return caller.Count("200 OK") == 1; }));
+}
