Shell: Send no body in an answer to HEAD

A caller of HEAD took the body that it got for the beginning of the next answer on its connection.

Cause: libevent adds the body of an answer whatever the method is. Answers to HEAD now have the length of the body and no body.

Before, AnswerToHeadHasNoBody got the body with the first answer; now it passes.

--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -121,7 +121,13 @@
     evhttp_add_header(fields, "Connection", "close");
   }
   evbuffer* body = evbuffer_new();
-  evbuffer_add(body, answer.body().data(), answer.body().size());
+  if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD) {
+    // libevent would send the body.
+    evhttp_add_header(fields, "Content-Length",
+                      std::to_string(answer.body().size()).c_str());
+  } else {
+    evbuffer_add(body, answer.body().data(), answer.body().size());
+  }
   evhttp_send_reply(request, static_cast<int>(answer.status()), nullptr, body);
   evbuffer_free(body);
 }
--- a/Tests/Shell/HttpServerTest.cc
+++ b/Tests/Shell/HttpServerTest.cc
@@ -445,6 +445,15 @@
   }
 }
 
+TEST(HttpServer, AnswerToHeadHasNoBody) {
+  this->site.body = "a body";
+  Caller caller(this->site.port);
+  this->site.callers = {&caller};
+  caller.Send("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + kGet);
+  CHECK(this->site.RunUntil([&] { return caller.Count("a body") == 1; }));
+  LONGS_EQUAL(2, caller.Count("HTTP/1.1 200"));
+}
+
 TEST(HttpServer, ExpectedContinueIsSent) {
   Caller caller(this->site.port);
   this->site.callers = {&caller};
