Shell: Bound what the callers of an HTTP server take up

A caller that sent a byte now and then, or didn't read its answer a byte at a time, kept its connection for ever. Idle connections up to the limit of descriptors took a whole share of the processor: libevent's listener is called again and again when accept fails. Sixty unfinished bodies of 3.9 MB raised a control instance to 242 MB, and a chunk's size without an end was read into memory without a bound. A call that no reducer answered was never answered.

Cause: the only bound was libevent's time-out between two reads or writes, and the sizes of one request.

HttpServer now keeps a record of each connection from the accept on, with its state and since when it has been in it. Each state has a limit of 30 s; a call that is still unanswered then gets 503, and on_caller_disconnected tells the instance to forget it. Beyond 2,048 connections, or half of the descriptors, the one that has waited longest without an unanswered call is closed, and beyond 32 MiB of requests and answers the largest. After a failed accept the server makes room and pauses for 10 ms. While an answer is sent, nothing is read, so a caller that has closed its sending side by then still gets it in full.

--- a/Source/Shell/MetricsServer.cc
+++ b/Source/Shell/MetricsServer.cc
@@ -3,10 +3,16 @@
 #include "Shell/Log.h"
 
 namespace filbertwall {
+namespace {
+
+constexpr std::size_t kMaxConnections = 16;
+
+}  // namespace
 
 MetricsServer::MetricsServer(event_base* base,
                              std::function<std::string()> format_metrics)
-    : http(base), format(std::move(format_metrics)) {
+    : http(base, {.connections = kMaxConnections}),
+      format(std::move(format_metrics)) {
   this->http.on_request.connect(
       [this](std::uint64_t id, const HttpRequest& request) {
         constexpr int kOk = 200;
--- a/Tests/Shell/HttpServerTest.cc
+++ b/Tests/Shell/HttpServerTest.cc
@@ -1,9 +1,11 @@
 #include <arpa/inet.h>
 #include <malloc.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <filesystem>
@@ -73,6 +75,7 @@
     this->closed = this->closed || (this->reads && count == 0) ||
                    (count < 0 && errno != EAGAIN && errno != ENOTCONN);
   }
+  void HalfClose() { shutdown(this->stream, SHUT_WR); }
   void Close() {
     if (this->stream >= 0) {
       close(this->stream);
@@ -110,7 +113,8 @@
 
 /// An HTTP server with its loop on this thread.
 struct Site {
-  Site() : base(event_base_new()), server(new HttpServer(this->base)) {
+  explicit Site(const HttpLimits& limits = {})
+      : base(event_base_new()), server(new HttpServer(this->base, limits)) {
     this->server->on_request.connect(
         [this](std::uint64_t id, const HttpRequest& request) {
           this->seen.push_back({.id = id, .request = request});
@@ -322,6 +326,17 @@
   CHECK(mallinfo2().uordblks < before + kMany * kFieldBytes / 2);
 }
 
+TEST(HttpServer, CallerThatHasSentAllStillGetsItsAnswer) {
+  for (const std::string& request : {kGet, kPost, kGet + kPost}) {
+    Caller caller(this->site.port);
+    this->site.callers = {&caller};
+    caller.Send(request);
+    caller.HalfClose();
+    CHECK(this->site.RunUntil([&] { return caller.closed; }));
+    STRCMP_CONTAINS("200 ", Statuses(caller.received).c_str());
+  }
+}
+
 TEST(HttpServer, ServerThatEndsWithUnansweredRequestsFreesThem) {
   this->site.answers_at_once = false;
   Caller caller(this->site.port);
@@ -331,6 +346,12 @@
   LONGS_EQUAL(0, this->site.disconnected.size());
 }
 
+TEST(HttpServer, ServerThatEndsRightAfterAnAcceptFreesTheConnection) {
+  Caller caller(this->site.port);
+  event_base_loop(this->site.base, EVLOOP_NONBLOCK);
+  this->site.server.reset();
+}
+
 TEST(HttpServer, AmbiguousLengthsAreRefusedAndNothingBehindThemIsServed) {
   const std::string start = "POST /b HTTP/1.1\r\nHost: x\r\n";
   const std::string body = "\r\n3\r\nxyz\r\n0\r\n\r\n" + kGet;
@@ -464,3 +485,153 @@
   caller.Send("xyz");
   CHECK(this->site.RunUntil([&] { return caller.Count("200 OK") == 1; }));
 }
+
+TEST(HttpServer, LargeAnswersAreSentInFull) {
+  constexpr std::size_t kLarge = 8 * 1024 * 1024;
+  this->site.body = std::string(kLarge, 'a');
+  Caller caller(this->site.port);
+  this->site.callers = {&caller};
+  caller.Send(kGet);
+  CHECK(this->site.RunUntil([&] { return caller.received.size() > kLarge; }));
+  CHECK(this->site.RunUntil([&] { return !this->site.server->IsSending(); }));
+}
+
+TEST(HttpServer, SlowRequestDoesNotHoldItsConnectionForEver) {
+  Site hasty({.receive = Milliseconds(200), .check = Milliseconds(20)});
+  Caller caller(hasty.port);
+  hasty.callers = {&caller};
+  const auto start = Clock::now();
+  while (!caller.closed && Clock::now() - start < kLimit) {
+    caller.Send(caller.received.empty() ? "G" : "");
+    hasty.RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK(caller.closed);
+}
+
+TEST(HttpServer, IdleConnectionIsClosed) {
+  Site hasty({.idle = Milliseconds(100), .check = Milliseconds(20)});
+  Caller caller(hasty.port);
+  hasty.callers = {&caller};
+  caller.Send(kGet);
+  CHECK(hasty.RunUntil([&] { return caller.closed; }));
+  LONGS_EQUAL(1, caller.Count("200 OK"));
+}
+
+TEST(HttpServer, UnreadAnswerDoesNotHoldItsConnectionForEver) {
+  Site hasty({.send = Milliseconds(200), .check = Milliseconds(20)});
+  hasty.body = std::string(16 * 1024 * 1024, 'a');
+  const int before = CountDescriptors();
+  Caller caller(hasty.port);
+  hasty.callers = {&caller};
+  caller.reads = false;
+  caller.Send(kGet);
+  CHECK(hasty.RunUntil([&] { return hasty.server->IsSending(); }));
+  CHECK(hasty.RunUntil([&] { return CountDescriptors() == before + 1; }));
+  CHECK(!hasty.server->IsSending());
+}
+
+TEST(HttpServer, RequestThatNobodyAnswersIsRefusedInTime) {
+  Site hasty({.answer = Milliseconds(100), .check = Milliseconds(20)});
+  hasty.answers_at_once = false;
+  Caller caller(hasty.port);
+  hasty.callers = {&caller};
+  caller.Send(kPost);
+  CHECK(hasty.RunUntil([&] { return caller.closed; }));
+  STRCMP_EQUAL("503 ", Statuses(caller.received).c_str());
+  LONGS_EQUAL(1, hasty.disconnected.size());
+  hasty.Answer(hasty.seen.at(0).id, "late");
+}
+
+TEST(HttpServer, LongestWaitingConnectionMakesRoomForANewOne) {
+  Site small({.connections = 3});
+  small.answers_at_once = false;
+  Caller pending(small.port);
+  small.callers = {&pending};
+  pending.Send(kPost);
+  CHECK(small.RunUntil([&] { return small.seen.size() == 1; }));
+  Caller idle(small.port);
+  Caller slow(small.port);
+  small.callers = {&pending, &idle, &slow};
+  slow.Send("GET /");
+  small.RunFor(std::chrono::milliseconds(20));
+  Caller late(small.port);
+  small.callers.push_back(&late);
+  late.Send(kGet);
+  CHECK(small.RunUntil([&] { return small.seen.size() == 2; }));
+  CHECK(small.RunUntil([&] { return idle.closed; }));
+  CHECK(!slow.closed);
+  small.Answer(small.seen[0].id, "first");
+  CHECK(small.RunUntil([&] { return pending.Count("first") == 1; }));
+}
+
+TEST(HttpServer, ConnectionBeyondUnansweredRequestsIsClosedAtOnce) {
+  Site small({.connections = 1});
+  small.answers_at_once = false;
+  Caller pending(small.port);
+  small.callers = {&pending};
+  pending.Send(kPost);
+  CHECK(small.RunUntil([&] { return small.seen.size() == 1; }));
+  Caller late(small.port);
+  small.callers.push_back(&late);
+  late.Send(kGet);
+  CHECK(small.RunUntil([&] { return late.closed; }));
+  LONGS_EQUAL(0, small.disconnected.size());
+}
+
+TEST(HttpServer, UnfinishedBodiesShareABoundedMemory) {
+  constexpr std::size_t kHeld = 1024 * 1024;
+  Site small({.held_bytes = kHeld});
+  std::vector<std::unique_ptr<Caller>> parked;
+  for (int i = 0; i < 8; ++i) {
+    Caller& caller = *parked.emplace_back(new Caller(small.port));
+    small.callers.push_back(&caller);
+    caller.Send(
+        "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n" +
+        std::string(kHeld / 2, 'a'));
+  }
+  CHECK(small.RunUntil([&] {
+    return std::ranges::count_if(
+               parked, [](const auto& caller) { return caller->closed; }) >= 6;
+  }));
+  Caller valid(small.port);
+  small.callers.push_back(&valid);
+  valid.Send(kPost);
+  CHECK(small.RunUntil([&] { return valid.Count("200 OK") == 1; }));
+}
+
+TEST(HttpServer, EndlessChunkLineIsBounded) {
+  Site hasty({.receive = Milliseconds(500), .check = Milliseconds(20)});
+  Caller caller(hasty.port);
+  hasty.callers = {&caller};
+  constexpr std::size_t kMany = 64 * 1024 * 1024;
+  caller.Send(
+      "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      std::string(kMany, '1'));
+  CHECK(hasty.RunUntil([&] { return caller.closed; }));
+  CHECK(caller.unsent.size() > kMany / 2);
+}
+
+TEST(HttpServer, FullTableOfDescriptorsNeitherSpinsNorStopsAccepting) {
+  rlimit old{};
+  getrlimit(RLIMIT_NOFILE, &old);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back(new Caller(this->site.port));
+  }
+  rlimit full = old;
+  full.rlim_cur = static_cast<rlim_t>(CountDescriptors());
+  setrlimit(RLIMIT_NOFILE, &full);
+  int turns = 0;
+  const auto end = Clock::now() + std::chrono::milliseconds(300);
+  while (Clock::now() < end) {
+    event_base_loop(this->site.base, EVLOOP_ONCE);
+    ++turns;
+  }
+  setrlimit(RLIMIT_NOFILE, &old);
+  CHECK(turns < 100);
+  callers.clear();
+  Caller late(this->site.port);
+  this->site.callers = {&late};
+  late.Send(kGet);
+  CHECK(this->site.RunUntil([&] { return late.Count("200 OK") == 1; }));
+}
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import re
+import resource
 import signal
 import socket
 import struct
@@ -34,16 +35,21 @@
 
 
 class SmallFleet:
-    def __init__(self, folder, controls=3):
+    def __init__(self, folder, controls=3, descriptors=None):
         own = os.getpid()
         network = "127.%d" % (224 + own % 30)
         self.fleet = fleet_processes.Fleet(network, folder, own, controls, 1)
         self.controls, self.entry = self.fleet.controls, self.fleet.entries[0]
         self.version = 0
+        self.descriptors = descriptors
 
     def start(self):
+        old = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE,
+                           (self.descriptors or old[0], old[1]))
         for process in self.fleet.processes():
             process.start(first_start=True)
+        resource.setrlimit(resource.RLIMIT_NOFILE, old)
         wait_until(self.leader, START_LIMIT, "a leader")
         assert self.submit() == 200
         for number in range(1, 4):
@@ -138,9 +144,9 @@
 
 
 @contextlib.contextmanager
-def small_fleet(controls=3):
+def small_fleet(controls=3, descriptors=None):
     with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
-        small = SmallFleet(folder, controls)
+        small = SmallFleet(folder, controls, descriptors)
         try:
             small.start()
             yield small
@@ -218,6 +224,107 @@
         small.check()
 
 
+def http_ports(small):
+    """The addresses at which the processes take HTTP calls."""
+    return ([(c.host, CALL_REAL_PORT) for c in small.controls] +
+            [(c.host, METRICS_PORT) for c in small.fleet.processes()] +
+            [(small.entry.host, READY_PORT)])
+
+
+def connect(address):
+    """A connection that may not be established yet."""
+    stream = socket.socket()
+    stream.setblocking(False)
+    stream.connect_ex(address)
+    return stream
+
+
+def processor_seconds(process):
+    fields = pathlib.Path("/proc/%d/stat" % process.process.pid).read_text()
+    user, system = fields.rsplit(")", 1)[1].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(process):
+    fields = pathlib.Path("/proc/%d/statm" % process.process.pid).read_text()
+    return int(fields.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def odd_http_ends_no_process():
+    post = b"POST /api/Config.Replace HTTP/1.1\r\nHost: x\r\n"
+    chunked = post + b"Transfer-Encoding: chunked\r\n\r\n"
+    get = b"GET /api/Config.Describe HTTP/1.1\r\nHost: x\r\n\r\n"
+    inputs = [
+        b"", b"\r\n", b"\0" * 100, b"\xff" * 100, b"a" * 100000,
+        b"GET /api/ready\r\n\r\n", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        b"BREW / HTTP/1.1\r\n\r\n", b"CONNECT x:1 HTTP/1.1\r\n\r\n",
+        b"OPTIONS * HTTP/1.1\r\n\r\n", b"HEAD /metrics HTTP/1.1\r\n\r\n",
+        b"GET http://x/api/ready HTTP/1.1\r\n\r\n",
+        b"GET http://[::1 HTTP/1.1\r\n\r\n", b"GET :// HTTP/1.1\r\n\r\n",
+        b"GET /a\0b HTTP/1.1\r\n\r\n", b"GET /\xff\xfe HTTP/1.1\r\n\r\n",
+        b"GET /" + b"%" * 8000 + b" HTTP/1.1\r\n\r\n",
+        b"POST /api/Instances.Heartbeat/a\r b HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\n a: b\r\n\r\n", b"GET / HTTP/1.1\r\n:\r\n\r\n",
+        b"GET / HTTP/1.1\r\na:" + b" \r\n b" * 2000 + b"\r\n\r\n",
+        post + b"Content-Length: -1\r\n\r\n",
+        post + b"Content-Length: 9223372036854775807\r\n\r\n",
+        post + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        post + b"Content-Length: 5000000\r\n\r\n" + b"a" * 100000,
+        post + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n{}",
+        post + b"Expect: x\r\nContent-Length: 2\r\n\r\n{}",
+        chunked + b"-1\r\n", chunked + b"ffffffffffffffff\r\n",
+        chunked + b"7fffffffffffffff\r\n", chunked + b"\r\n" * 10000,
+        chunked + b"1\r\na\r\n" * 10000 + b"0\r\n\r\n",
+        chunked + b"0\r\n" + b"a: b\r\n" * 10000 + b"\r\n", get * 1000,
+        get + post + b"Content-Length: 2\r\n\r\n{}" + get]
+    with small_fleet() as small:
+        streams = []
+        for address in http_ports(small):
+            for data in inputs:
+                stream = socket.create_connection(address, timeout=2)
+                streams.append(stream)
+                with contextlib.suppress(OSError):
+                    stream.sendall(data)
+        time.sleep(0.2)
+        for stream in streams:
+            stream.close()
+        small.check()
+
+
+def idle_connections_beyond_the_descriptors_stop_no_process():
+    with small_fleet(descriptors=64) as small:
+        streams = [connect(address) for _ in range(100)
+                   for address in http_ports(small)]
+        processes = small.fleet.processes()
+        before = [processor_seconds(process) for process in processes]
+        time.sleep(2.0)
+        used = [processor_seconds(process) - start
+                for process, start in zip(processes, before)]
+        assert max(used) < 0.2, used
+        assert small.is_ready()
+        small.check()
+        for stream in streams:
+            stream.close()
+
+
+def unfinished_bodies_end_no_control_instance():
+    with small_fleet() as small:
+        control = small.controls[0]
+        head = (b"POST /api/Config.Replace HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: 4000000\r\n\r\n")
+        streams = []
+        for _ in range(60):
+            stream = socket.create_connection((control.host, CALL_REAL_PORT))
+            streams.append(stream)
+            with contextlib.suppress(OSError):
+                stream.settimeout(2)
+                stream.sendall(head + b"a" * 3900000)
+        assert resident_bytes(control) < 100 * 2**20, resident_bytes(control)
+        small.check()
+        for stream in streams:
+            stream.close()
+
+
 def hangup_during_the_start_ends_no_process():
     with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
         settings = os.path.join(folder, "settings.ini")
