ControlRuntime: Finish the answers being sent before a stop

A caller that read a large config slowly got a part of it when the instance was stopped: the process ended 0.4 s after SIGTERM, whatever it still had to send.

A stop now waits for answers that are being sent, for at most 2 s beyond the time that it takes anyway.

A call that is unanswered at the end is still closed without an answer.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds kSettingsCheckInterval{2000};
 constexpr Milliseconds kDiskRetryInterval{300};
 constexpr Milliseconds kStopDelay{300};
+/// Longest time for which a stop waits for answers that are being sent.
+constexpr Milliseconds kMaxSendDelay{2000};
+constexpr Milliseconds kSendCheckInterval{20};
 constexpr char kRegistryName[] = "/servers.saved";
 
 std::uint64_t RandomNumber() {
@@ -94,6 +97,7 @@
   TimePoint next_settings_check_at;
   TimePoint next_disk_retry_at = TimePoint::max();
   TimePoint stop_at = TimePoint::max();
+  TimePoint stop_limit = TimePoint::max();
   bool disk_failed = false;
 };
 
@@ -162,6 +166,7 @@
     this->http.StartClosing();
     this->Handle(ControlStopRequested{});
     this->stop_at = FleetNow() + kStopDelay;
+    this->stop_limit = this->stop_at + kMaxSendDelay;
     this->RearmTimer();
   });
   this->loop.on_reload.connect([this] { this->ReloadSettings(); });
@@ -214,6 +219,10 @@
 
 void ControlRuntime::HandleTimer() {
   const TimePoint now = FleetNow();
+  if (now >= this->stop_at && now < this->stop_limit &&
+      this->http.IsSending()) {
+    this->stop_at = now + kSendCheckInterval;
+  }
   if (now >= this->stop_at) {
     WriteLog({.id = EventId::kStopped, .text = "control instance"});
     this->stop_at = TimePoint::max();
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -325,6 +325,36 @@
             stream.close()
 
 
+def answer_being_sent_is_not_cut_by_a_stop():
+    with small_fleet() as small:
+        document = small.document(small.version + 1)
+        document["Routes"] = [
+            dict(document["Routes"][0], Name="r%s-%d" % ("x" * 200, number),
+                 Hostname="198.18.%d.%d" % (number // 250, number % 250))
+            for number in range(10000)]
+        small.version += 1
+        status, _ = small.call(small.controls[0].host, "POST",
+                               "/api/Config.Replace", json.dumps(document), 9)
+        assert status == 200, status
+        host = wait_until(small.leader, START_LIMIT, "a leader")[0].host
+        control = [c for c in small.controls if c.host == host][0]
+        stream = socket.socket()
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        stream.connect((host, CALL_REAL_PORT))
+        stream.sendall(b"GET /api/Config.Describe HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = stream.recv(4096)
+        assert b" 200 " in received[:20], received[:100]
+        control.signal(signal.SIGTERM)
+        time.sleep(0.6)
+        answer = bytearray(received)
+        with contextlib.suppress(OSError):
+            while data := stream.recv(65536):
+                answer += data
+        head, _, body = bytes(answer).partition(b"\r\n\r\n")
+        length = int(re.search(rb"Content-Length: (\d+)", head).group(1))
+        assert len(body) == length, (len(body), length)
+
+
 def hangup_during_the_start_ends_no_process():
     with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
         settings = os.path.join(folder, "settings.ini")
