ControlRuntime: Shorten the path of a call in the log

A call with an unknown path wrote the whole path, up to 16 KiB of any bytes, into the log line with its result; only the line about the refusal before it had a printable excerpt. Now both have.

Before, call_path_of_any_length_and_bytes_leaves_log_lines_readable found a line of 14,093 bytes; now it passes.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -308,7 +308,7 @@
   const bool report = std::holds_alternative<ReportCall>(pending.call);
   if (!report || effect.verdict != CallVerdict::kAccepted) {
     WriteLog({.id = EventId::kSubmissionResult,
-              .text = "call=" + pending.request.path +
+              .text = "call=" + Excerpt(pending.request.path) +
                       " status=" + std::to_string(answer.status()) +
                       " leader=" + FormatIp(effect.leader) + " " +
                       effect.reason});
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -355,6 +355,23 @@
         assert len(body) == length, (len(body), length)
 
 
+def call_path_of_any_length_and_bytes_leaves_log_lines_readable():
+    with small_fleet() as small:
+        for control in small.controls:
+            with socket.create_connection((control.host,
+                                           CALL_REAL_PORT)) as connection:
+                connection.sendall(b"GET /" + b"\xc2\x9b" * 7000 +
+                                   b" HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 404 " in connection.recv(4096)[:20]
+        time.sleep(END_DELAY)
+        for control in small.controls:
+            log = (small.fleet.folder / (control.host + ".log")).read_bytes()
+            longest = max(log.splitlines(), key=len)
+            assert len(longest) < 1000, len(longest)
+            assert b"\xc2" not in log
+        small.check()
+
+
 def hangup_during_the_start_ends_no_process():
     with tempfile.TemporaryDirectory(prefix="outside-input-") as folder:
         settings = os.path.join(folder, "settings.ini")
