Packets: Refuse what no caller can have sent

A SYN whose count of copies is ended the entry instance by signal 11: the count was used as a number, its successor wrapped to 0 and the schedule was read out of its bounds.

The count is now decoded once, into the times of a copy or nothing. Beyond the schedule a copy counts as 1.4 s old, so that it takes only the capacity that others leave; before, it counted as new. Larger counts are refused, as doubling intervals would take hours to reach them. So are a SYN with another flag (SYN+ACK is what servers send, and they treat it as forged), more than 1,200 bytes of data, which includes datagrams that were cut to the receive buffer, and a caller without a unicast address and port. A refused packet is counted as malformed and logged within the limit of its event.

--- a/Tests/Platform/PacketAdapterTest.cc
+++ b/Tests/Platform/PacketAdapterTest.cc
@@ -44,6 +44,66 @@
   }
 }
 
+TEST(PacketAdapter, CountsThatNoCallerReachesAreRejected) {
+  for (const std::uint32_t copies :
+       {16U, 255U, 256U, 1U << 31U, UINT32_MAX - 1, UINT32_MAX}) {
+    std::vector<std::uint8_t> bytes = MakeSyn();
+    for (std::size_t i = 0; i < 4; ++i) {
+      bytes[4 + i] = static_cast<std::uint8_t>(copies >> (8 * i));
+    }
+    FlowPacket packet;
+    CHECK_FALSE(this->codec.parse(bytes, packet));
+  }
+}
+
+TEST(PacketAdapter, ACopyBeyondTheScheduleComesAfterItsEnd) {
+  for (const std::uint8_t copies : {3, 4, 15}) {
+    std::vector<std::uint8_t> bytes = MakeSyn();
+    bytes[4] = copies;
+    FlowPacket packet;
+    CHECK(this->codec.parse(bytes, packet));
+    LONGS_EQUAL(1400, packet.since_first_copy.count());
+  }
+}
+
+TEST(PacketAdapter, ASynWithAnotherFlagIsNoCallersPacket) {
+  constexpr std::size_t kFlagsOffset = 26;
+  for (const std::uint8_t other : {4, 8, 2, 4 | 8 | 2}) {
+    std::vector<std::uint8_t> bytes = MakeSyn();
+    bytes[kFlagsOffset] |= other;
+    FlowPacket packet;
+    CHECK_FALSE(this->codec.parse(bytes, packet));
+  }
+}
+
+TEST(PacketAdapter, CallersThatNothingCanBeSentToAreRejected) {
+  constexpr std::size_t kIpOffset = 12;
+  constexpr std::size_t kPortOffset = 20;
+  const std::vector<std::vector<std::uint8_t>> addresses = {
+      {0, 0, 0, 0}, {255, 255, 255, 255}, {1, 0, 0, 224}, {1, 0, 0, 239}};
+  FlowPacket packet;
+  for (const std::vector<std::uint8_t>& address : addresses) {
+    std::vector<std::uint8_t> bytes = MakeSyn();
+    std::copy(address.begin(), address.end(), bytes.begin() + kIpOffset);
+    CHECK_FALSE(this->codec.parse(bytes, packet));
+  }
+  std::vector<std::uint8_t> bytes = MakeSyn();
+  bytes[kPortOffset] = bytes[kPortOffset + 1] = 0;
+  CHECK_FALSE(this->codec.parse(bytes, packet));
+}
+
+TEST(PacketAdapter, PayloadsLongerThanAPacketsAreRejected) {
+  constexpr std::size_t kLengthOffset = 24;
+  for (const std::size_t payload : {1200UL, 1201UL, 1468UL, 2016UL, 65475UL}) {
+    std::vector<std::uint8_t> bytes = MakeSyn();
+    bytes.resize(32 + payload);
+    bytes[kLengthOffset] = static_cast<std::uint8_t>(payload);
+    bytes[kLengthOffset + 1] = static_cast<std::uint8_t>(payload >> 8U);
+    FlowPacket packet;
+    CHECK_EQUAL(payload == 1200, this->codec.parse(bytes, packet));
+  }
+}
+
 TEST(PacketAdapter, ResetMatchesThePlatformExample) {
   const std::vector<std::uint8_t> expected = {
       0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
