Forwarding: Reset the flows of a route without shares

The service of a new flow is its hash modulo the sum of the route's weights. A route whose shares have no weight, or whose weights add up to 2^32, made the sum 0: a division by zero, and a look at the last of no shares, which ended the entry instance at the first opening packet.

The sum has 64 bits now, and flows of a route without shares are reset as those of a service without servers.

--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -138,6 +138,10 @@
     forwarder.counters.no_route += 1;
     return Reset(ForwardReason::kNoRoute);
   }
+  if (route->second.shares.empty()) {
+    forwarder.counters.no_server += 1;
+    return Reset(ForwardReason::kNoServer);
+  }
   std::optional<ServerIndex> unanswered_server;
   const auto known = forwarder.flows.find(packet.key);
   if (known != forwarder.flows.end()) {
@@ -308,6 +312,7 @@
                  TimePoint now) {
   const auto route = forwarder.routes.routes.find(KeyOf(opening.key.address));
   return route == forwarder.routes.routes.end() ||
+         route->second.shares.empty() ||
          !IsLate(forwarder, route->second,
                  ServiceOf(route->second, FlowKeyHash()(opening.key)),
                  std::chrono::duration_cast<Milliseconds>(
--- a/Source/Forwarding/RouteTable.h
+++ b/Source/Forwarding/RouteTable.h
@@ -26,8 +26,9 @@
 };
 
 struct RouteEntry {
+  /// Shares with a weight above zero; may be empty.
   std::vector<ServiceShare> shares;
-  std::uint32_t total_weight = 0;
+  std::uint64_t total_weight = 0;
   wire::RequestKind kind = wire::REQUEST_UNSAFE;  ///< Unsafe: not retryable.
   Milliseconds timeout{0};                        ///< Request timeout.
   Milliseconds objective{0};  ///< Latency objective; 0: none.
@@ -50,8 +51,7 @@
 
 /// Selects the service of a new flow by the flow's hash and the weights of the
 /// route's shares, so that all copies of an opening packet get the same service
-/// while the route is unchanged. Precondition: the route has a share with a
-/// weight above zero.
+/// while the route is unchanged. Precondition: the route has a share.
 ServiceIndex ServiceOf(const RouteEntry& route, std::uint64_t flow_hash);
 
 }  // namespace filbertwall
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -193,6 +193,21 @@
   LONGS_EQUAL(0, this->forwarder.flows.size());
 }
 
+TEST(Forwarder, FlowsOfARouteWithoutSharesAreReset) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 8, "proof");
+  routes.mutable_set(0)->mutable_shares(0)->set_weight(0);
+  CHECK(ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement));
+  CHECK(this->Decide(OpeningPacket(1)).verdict == Verdict::kReset);
+}
+
+TEST(Forwarder, WeightsThatAddUpTo32BitsAreNoneTheLess) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 8, "proof");
+  routes.mutable_set(0)->mutable_shares(0)->set_weight(1U << 31U);
+  *routes.mutable_set(0)->add_shares() = routes.set(0).shares(0);
+  CHECK(ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement));
+  CHECK(this->Decide(OpeningPacket(1)).verdict == Verdict::kForward);
+}
+
 TEST(Forwarder, UnknownTokensAndAddressesReachNoServer) {
   CHECK(this->Decide(LaterPacket(1, 0xdead)).verdict == Verdict::kDrop);
   FlowPacket opening = OpeningPacket(1);
