Forwarding: Answer no reset with a reset

A reset on a removed route was answered with a reset to its source address. With the address of another instance as the source, which anyone can write, the answer is a packet that the other one handles. RFC 9293, 3.10.7.1, forbids it; the flow has ended at its caller anyway. The packet is dropped and counted as before.

AResetIsNotAnsweredWithAReset failed before.

--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -279,7 +279,10 @@
   TrackPacket(forwarder, packet, now);
   if (forwarder.routes.dropped.contains(KeyOf(packet.key.address))) {
     forwarder.counters.no_route += 1;
-    return Reset(ForwardReason::kRouteDropped);
+    // A reset must not be answered with a reset: two instances could go on
+    // answering each other.
+    return packet.aborts ? Drop(ForwardReason::kRouteDropped)
+                         : Reset(ForwardReason::kRouteDropped);
   }
   const auto server = FindByToken(forwarder.placement, packet.token);
   if (!server || forwarder.placement.servers[*server].address.ip == 0) {
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -136,6 +136,17 @@
   CHECK(this->Decide(OpeningPacket(2)).verdict == Verdict::kReset);
 }
 
+TEST(Forwarder, AResetIsNotAnsweredWithAReset) {
+  wire::RoutesUpdate update;
+  update.set_base_version(4);
+  update.set_version(5);
+  update.add_removed(KeyOf(kAddress));
+  CHECK(ApplyRoutes(this->forwarder.routes, update, this->forwarder.placement));
+  FlowPacket reset = LaterPacket(1, 0);
+  reset.aborts = true;
+  CHECK(this->Decide(reset).verdict == Verdict::kDrop);
+}
+
 TEST(Forwarder, OlderRulesAreRejected) {
   CHECK_FALSE(ApplyRoutes(this->forwarder.routes, MakeRoutes(0, 4, "other"),
                           this->forwarder.placement));
