Forwarding: Remove expired openings when no more can be stored

While an instance starts, it stores up to 5,000 opening packets. Those that had expired stayed until the release, so a flood of them kept the packets of callers that still wait out until the instance served. They are removed now when the limit is reached, at most every 50 ms.

AFloodKeepsLaterPacketsOutOnlyUntilItExpires failed before.

--- a/Source/Forwarding/HeldOpenings.cc
+++ b/Source/Forwarding/HeldOpenings.cc
@@ -15,6 +15,24 @@
 /// load.
 constexpr Milliseconds kReleaseDuration{400};
 constexpr Milliseconds kReleaseInterval{20};
+/// Packets expire within a second, so a sweep now and then finds some.
+constexpr Milliseconds kSweepInterval{50};
+
+/// Whether another packet can be stored. Removes expired packets if necessary,
+/// so that a flood of openings does not keep later ones out.
+bool HasSpace(HeldOpenings& held, TimePoint now) {
+  if (held.openings.size() < kMaxOpenings) {
+    return true;
+  }
+  if (now < held.next_sweep_at) {
+    return false;
+  }
+  held.next_sweep_at = now + kSweepInterval;
+  held.lapsed += std::erase_if(held.openings, [&](const auto& item) {
+    return item.second.expires_at <= now;
+  });
+  return held.openings.size() < kMaxOpenings;
+}
 
 }  // namespace
 
@@ -42,9 +60,8 @@
 bool HoldOpening(HeldOpenings& held, const FlowPacket& packet,
                  std::span<const std::uint8_t> bytes, TimePoint now) {
   const bool known = held.openings.contains(packet.key);
-  const bool full = !known && held.openings.size() >= kMaxOpenings;
   auto opening = MakeHeldOpening(packet, bytes, now);
-  if (!opening || full) {
+  if (!opening || (!known && !HasSpace(held, now))) {
     held.lapsed += 1;
     return false;
   }
--- a/Source/Forwarding/HeldOpenings.h
+++ b/Source/Forwarding/HeldOpenings.h
@@ -31,6 +31,8 @@
 
 struct HeldOpenings {
   std::unordered_map<FlowKey, HeldOpening, FlowKeyHash> openings;
+  /// No removal of expired packets from `openings` before this time.
+  TimePoint next_sweep_at;
   /// Packets still to be released, in order; filled by `StartRelease`.
   std::deque<HeldOpening> queue;
   std::size_t in_time = 0;  ///< Packets at the head of `queue` for one batch.
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -300,6 +300,15 @@
   LONGS_EQUAL(1, this->ReleaseAll(kStart + Milliseconds(500)).size());
 }
 
+TEST(HeldOpenings, AFloodKeepsLaterPacketsOutOnlyUntilItExpires) {
+  for (std::uint16_t port = 1; port <= 5000; ++port) {
+    CHECK(this->Hold(port, 0));
+  }
+  CHECK_FALSE(this->Hold(6000, 0));
+  CHECK(this->Hold(6000, 0, kStart + Milliseconds(200)));
+  LONGS_EQUAL(1, this->held.openings.size());
+}
+
 TEST(HeldOpenings, PacketsOfFlowsOpenedElsewhereAreDiscarded) {
   CHECK(this->Hold(1, 2));
   CHECK(this->Hold(2, 2));
