Forwarding: Leave no timer behind when a flow ends

The flow table of an entry instance is limited to 100,000 flows, but the timer of a flow stayed after its end until its time came. Opening and resetting one flow again and again left a timer each time, for up to an hour with the longest time-out. There is now one timer for each flow, removed with it.

EndedFlowsLeaveNothingBehind failed before, with 10,000 timers for no flow.

--- a/Source/Forwarding/FlowPacket.h
+++ b/Source/Forwarding/FlowPacket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 
@@ -13,7 +14,7 @@
 struct FlowKey {
   Endpoint caller;
   Endpoint address;
-  bool operator==(const FlowKey&) const = default;
+  auto operator<=>(const FlowKey&) const = default;
 };
 
 struct FlowKeyHash {
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -83,6 +83,15 @@
                                      UsualDuration(forwarder, route, service)}};
 }
 
+using FlowPosition = decltype(Forwarder::flows)::iterator;
+
+/// Removes a flow and its timer.
+void RemoveFlow(Forwarder& forwarder, FlowPosition flow) {
+  forwarder.timers.erase({flow->second.due_at, flow->first});
+  forwarder.flows.erase(flow);
+}
+
+/// Adds a flow to the tracked ones. Precondition: its key is not tracked.
 void TrackFlow(Forwarder& forwarder, const FlowPacket& packet,
                ServerIndex server, const RouteEntry& route, bool late,
                TimePoint now) {
@@ -97,6 +106,7 @@
                .opened_at = now,
                .fails_at = fails_at,
                .expires_at = expires_at,
+               .due_at = fails_at,
                .late = late,
                .objective = route.objective};
   if (late) {
@@ -157,7 +167,7 @@
     unanswered_server = known->second.server;
     RecordUnanswered(forwarder.placement, *unanswered_server, now);
     RemoveFromWindow(forwarder, known->second);
-    forwarder.flows.erase(known);
+    RemoveFlow(forwarder, known);
   }
   const ServiceIndex service =
       ServiceOf(route->second, FlowKeyHash()(packet.key));
@@ -257,7 +267,7 @@
       RecordFailure(forwarder.outcomes, flow.server);
     }
     RemoveFromWindow(forwarder, flow);
-    forwarder.flows.erase(known);
+    RemoveFlow(forwarder, known);
   }
 }
 
@@ -327,9 +337,6 @@
     const FlowKey key = forwarder.timers.begin()->second;
     forwarder.timers.erase(forwarder.timers.begin());
     const auto found = forwarder.flows.find(key);
-    if (found == forwarder.flows.end() || found->second.fails_at > now) {
-      continue;  // The flow has ended, or a later flow has the same key.
-    }
     OpenFlow& flow = found->second;
     RemoveFromWindow(forwarder, flow);
     if (flow.answered && !flow.overdue) {
@@ -338,7 +345,8 @@
       RecordFailure(forwarder.outcomes, flow.server);
     }
     if (flow.expires_at > now) {
-      forwarder.timers.emplace(flow.expires_at, key);
+      flow.due_at = flow.expires_at;
+      forwarder.timers.emplace(flow.due_at, key);
       continue;
     }
     RecordFlowEnd(forwarder.placement, flow.server, flow.answered, std::nullopt,
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 
 #include "Admission/Admission.h"
 #include "Base/Endpoint.h"
@@ -64,6 +66,7 @@
   TimePoint opened_at;
   TimePoint fails_at;    ///< The flow fails if it is still open then.
   TimePoint expires_at;  ///< The entry is removed then.
+  TimePoint due_at;      ///< Time of its entry in `Forwarder::timers`.
   /// Acknowledgement number of the first packet after the opening one. The
   /// answer's length is counted from here.
   std::uint32_t first_ack_number = 0;
@@ -102,8 +105,8 @@
   LateOpenings late;                ///< Stored until a service has capacity.
   std::size_t flow_limit = 100000;  ///< Flows beyond it are not tracked.
   std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
-  /// Flows by their next `fails_at` or `expires_at`.
-  std::multimap<TimePoint, FlowKey> timers;
+  /// One entry for each of `flows`, by its next `fails_at` or `expires_at`.
+  std::set<std::pair<TimePoint, FlowKey>> timers;
   FlowOutcomes outcomes;
   Admission admission;
   /// Whether new flows are reset when admission control refuses them.
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -204,6 +204,20 @@
   LONGS_EQUAL(0, this->forwarder.flows.size());
 }
 
+TEST(Forwarder, EndedFlowsLeaveNothingBehind) {
+  for (std::uint32_t i = 0; i < 10000; ++i) {
+    const auto port = static_cast<std::uint16_t>(1 + i % 100);
+    const TimePoint now = kStart + Microseconds(i);
+    const Decision opened = this->Decide(OpeningPacket(port), now);
+    CHECK(opened.verdict == Verdict::kForward);
+    FlowPacket last = LaterPacket(port, this->At(opened.server).token);
+    last.aborts = true;
+    this->Decide(last, now);
+  }
+  LONGS_EQUAL(0, this->forwarder.flows.size());
+  LONGS_EQUAL(0, this->forwarder.timers.size());
+}
+
 TEST(Forwarder, FlowsOfARouteWithoutSharesAreReset) {
   wire::RoutesUpdate routes = MakeRoutes(0, 8, "proof");
   routes.mutable_set(0)->mutable_shares(0)->set_weight(0);
