Shell: Let no signal end a process that was not asked to stop

SIGHUP before the handlers were set, that is while the settings were read, ended the process by signal 1; a file-size limit ended it by SIGXFSZ, whatever the settings. A second SIGTERM cut a graceful stop short, and whoever stops a process may well send it twice.

SIGTERM, SIGINT and SIGHUP are blocked when the handlers are removed. A second SIGTERM changes nothing; a second SIGINT still ends the process at once.

--- a/Source/Shell/FleetLoop.cc
+++ b/Source/Shell/FleetLoop.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "Shell/FleetLink.h"
+#include "Shell/ProcessSetup.h"
 
 namespace filbertwall {
 namespace {
@@ -30,7 +31,6 @@
 }  // namespace
 
 FleetLoop::FleetLoop() : base(MakeEventBase(), &event_base_free) {
-  std::signal(SIGPIPE, SIG_IGN);
   this->timer = evtimer_new(this->Base(), &FleetLoop::OnTimer, this);
   this->terminate_event =
       evsignal_new(this->Base(), SIGTERM, &FleetLoop::OnStop, this);
@@ -45,6 +45,7 @@
 }
 
 FleetLoop::~FleetLoop() {
+  BlockStopSignals();  // The handlers are removed here.
   for (event* item : {this->timer, this->terminate_event, this->interrupt_event,
                       this->hangup_event}) {
     event_free(item);
@@ -79,10 +80,12 @@
   loop.on_timer.emit();
 }
 
-void FleetLoop::OnStop(evutil_socket_t, short, void* self) {
+void FleetLoop::OnStop(evutil_socket_t signal, short, void* self) {
   auto& loop = *static_cast<FleetLoop*>(self);
   if (loop.stop_requested) {
-    event_base_loopbreak(loop.Base());  // The second signal exits at once.
+    if (signal == SIGINT) {
+      event_base_loopbreak(loop.Base());
+    }
     return;
   }
   loop.stop_requested = true;
--- a/Source/Shell/FleetLoop.h
+++ b/Source/Shell/FleetLoop.h
@@ -29,8 +29,8 @@
   /// once when `due` is past. Replaces the time set before.
   void WakeAt(TimePoint due);
 
-  /// Runs until the delay of `Stop` has passed, or until a second SIGTERM or
-  /// SIGINT.
+  /// Runs until the delay of `Stop` has passed, or until a SIGINT that follows
+  /// another SIGTERM or SIGINT.
   void Run();
   /// Ends `Run` after a short delay, so that answers already written are still
   /// sent.
--- a/Source/Shell/Runtime.cc
+++ b/Source/Shell/Runtime.cc
@@ -20,6 +20,7 @@
 #include "Shell/Log.h"
 #include "Shell/Messenger.h"
 #include "Shell/PacketPort.h"
+#include "Shell/ProcessSetup.h"
 
 namespace filbertwall {
 namespace {
@@ -105,6 +106,7 @@
       packets(this->base) {}
 
 Runtime::~Runtime() {
+  BlockStopSignals();  // The handlers are removed here.
   for (event* item :
        {this->tick, this->terminate, this->interrupt, this->hangup}) {
     if (item != nullptr) {
@@ -256,10 +258,12 @@
   runtime.messenger.Drain();
 }
 
-void Runtime::OnSignal(evutil_socket_t, short, void* self) {
+void Runtime::OnSignal(evutil_socket_t signal, short, void* self) {
   auto& runtime = *static_cast<Runtime*>(self);
   if (runtime.stop_requested) {
-    event_base_loopbreak(runtime.base);  // The second signal exits at once.
+    if (signal == SIGINT) {
+      event_base_loopbreak(runtime.base);
+    }
     return;
   }
   runtime.stop_requested = true;
@@ -385,7 +389,6 @@
 }
 
 RunError RunInstance(const Settings& settings, const KeyPair& keys) {
-  std::signal(SIGPIPE, SIG_IGN);
   StartLog(settings.id);
   Runtime runtime(settings, keys);
   return runtime.Run();
