Shell: Report each end of a process, and wait for no reader

It is now set up first in main() for `fleet` and `run`, and tells of any other status than 0.

The handler wrote to standard output without asking whether it is read: with a full pipe the dying process waited for good. It writes now only if the line is accepted at once. What it reads is atomic, and its stack has 64 KiB.

--- a/Source/Commands/Main.cc
+++ b/Source/Commands/Main.cc
@@ -21,10 +21,15 @@
   const bool runs_instance = argc > 1 && RunsInstance(argv[1]);
   if (runs_instance) {
     filbertwall::PrepareProcess();
+    filbertwall::InstallEndReport();
   }
   try {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    return filbertwall::RunCommand("filbertwall", arguments);
+    const int status = filbertwall::RunCommand("filbertwall", arguments);
+    if (runs_instance && status != filbertwall::kExitSuccess) {
+      filbertwall::ReportExit(status);
+    }
+    return status;
   } catch (const std::exception& error) {
     filbertwall::ReportException(error.what());
     std::cerr << "filbertwall: " << error.what() << "\n";
--- a/Source/Shell/EndReport.cc
+++ b/Source/Shell/EndReport.cc
@@ -1,13 +1,16 @@
 #include "Shell/EndReport.h"
 
 #include <event2/event.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <string>
 
 #include "Base/Event.h"
 #include "Base/InputError.h"
@@ -17,11 +20,19 @@
 
 constexpr std::array<int, 5> kFatalSignals = {SIGSEGV, SIGBUS, SIGFPE, SIGILL,
                                               SIGABRT};
-constexpr std::size_t kSignalStackBytes = 32UL * 1024UL;
+constexpr std::size_t kSignalStackBytes = 64UL * 1024UL;
 constexpr std::size_t kMaxLineBytes = 512;
 
-InputKind g_input_kind = InputKind::kNone;
-std::size_t g_input_bytes = 0;
+// Read by the signal handler, hence atomic; written by one thread.
+std::atomic<InputKind> g_input_kind = InputKind::kNone;
+std::atomic<std::size_t> g_input_bytes = 0;
+static_assert(std::atomic<InputKind>::is_always_lock_free &&
+              std::atomic<std::size_t>::is_always_lock_free);
+
+void SetInput(InputKind kind, std::size_t bytes) {
+  g_input_kind.store(kind, std::memory_order_relaxed);
+  g_input_bytes.store(bytes, std::memory_order_relaxed);
+}
 
 const char* InputKindName(InputKind kind) {
   switch (kind) {
@@ -61,8 +72,14 @@
         digits.data(), static_cast<std::size_t>(end.ptr - digits.data())));
   }
 
+  /// Writes the line unless the reader accepts nothing now: a process that ends
+  /// must not wait for it.
   void Write() {
     this->bytes[this->length++] = '\n';
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+      return;
+    }
     // Nothing is left to do about a failed write.
     [[maybe_unused]] const ssize_t written =
         write(STDOUT_FILENO, this->bytes.data(), this->length);
@@ -78,8 +95,8 @@
   line.Add("FW-").Add(static_cast<std::size_t>(EventId::kEndedByItself));
   line.Add(" error pid=").Add(static_cast<std::size_t>(getpid()));
   line.Add(" ").Add(cause).Add(detail);
-  line.Add(" input=").Add(InputKindName(g_input_kind));
-  line.Add(" input_bytes=").Add(g_input_bytes);
+  line.Add(" input=").Add(InputKindName(g_input_kind.load()));
+  line.Add(" input_bytes=").Add(g_input_bytes.load());
   line.Write();
 }
 
@@ -102,16 +119,14 @@
 
 InputMark::InputMark(InputKind kind, std::size_t bytes)
     : previous_kind(g_input_kind), previous_bytes(g_input_bytes) {
-  g_input_kind = kind;
-  g_input_bytes = bytes;
+  SetInput(kind, bytes);
 }
 
 InputMark::~InputMark() {
   if (std::uncaught_exceptions() > 0) {
     return;  // ReportException() names the input.
   }
-  g_input_kind = this->previous_kind;
-  g_input_bytes = this->previous_bytes;
+  SetInput(this->previous_kind, this->previous_bytes);
 }
 
 void InstallEndReport() {
@@ -131,6 +146,10 @@
   event_set_fatal_callback(&HandleEventLibraryError);
 }
 
+void ReportExit(int status) {
+  WriteEndReport("exit_status=", std::to_string(status));
+}
+
 void ReportException(std::string_view what) {
   WriteEndReport("exception=", "\"" + Excerpt(what) + "\"");
 }
--- a/Source/Shell/EndReport.h
+++ b/Source/Shell/EndReport.h
@@ -36,6 +36,10 @@
 /// same. Must be called once, on the main thread.
 void InstallEndReport();
 
+/// Writes event FW-1007 for a process that ends with an exit status because it
+/// could not start or go on.
+void ReportExit(int status);
+
 /// Writes event FW-1007 for an exception that ends the process. `what` is
 /// shortened and may hold any bytes.
 void ReportException(std::string_view what);
--- a/Tests/Shell/EndReportTest.cc
+++ b/Tests/Shell/EndReportTest.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -58,6 +59,41 @@
                   ending.output.c_str());
 }
 
+TEST(EndReport, AReaderThatReadsNothingKeepsNoProcessFromEnding) {
+  int ends[2];
+  LONGS_EQUAL(0, pipe2(ends, O_NONBLOCK));
+  const std::string filler(4096, 'x');
+  while (write(ends[1], filler.data(), filler.size()) > 0) {
+  }
+  fcntl(ends[1], F_SETFL, 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    dup2(ends[1], STDOUT_FILENO);
+    InstallEndReport();
+    raise(SIGSEGV);
+  }
+  int status = 0;
+  pid_t ended = 0;
+  for (int i = 0; i < 200 && ended == 0; ++i) {
+    usleep(10000);
+    ended = waitpid(child, &status, WNOHANG);
+  }
+  if (ended == 0) {
+    kill(child, SIGKILL);
+    waitpid(child, &status, 0);
+  }
+  close(ends[0]);
+  close(ends[1]);
+  CHECK(WIFSIGNALED(status));
+  LONGS_EQUAL(SIGSEGV, WTERMSIG(status));
+}
+
+TEST(EndReport, NamesTheExitStatus) {
+  const Ending ending = RunChild([] { ReportExit(7); });
+  STRCMP_CONTAINS(" exit_status=7 input=none input_bytes=0\n",
+                  ending.output.c_str());
+}
+
 TEST(EndReport, NamesAnExceptionInPrintableText) {
   const Ending ending =
       RunChild([] { ReportException("invalid byte \xC3\n"); });
