Shell: Wait at a start for a predecessor's addresses

An instance that was started while its predecessor was still being killed ended with status 7, as an address was in use. A control instance reads its log only after it has its addresses: the predecessor may still write to it.

The test of the log is new with the order that it checks.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -8,6 +8,7 @@
 #include "Shell/EndReport.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
+#include "Shell/FleetPorts.h"
 #include "Shell/FleetRuntime.h"
 #include "Shell/FleetSettingsFile.h"
 #include "Shell/HttpServer.h"
@@ -63,7 +64,7 @@
   void StartCall(CallId id, const MalformedCall&);
 
  private:
-  bool OpenPorts();
+  std::optional<RunError> OpenPorts();
   /// Reads the saved registry. Returns an empty one if the file is missing or
   /// unreadable.
   wire::SavedRegistry LoadRegistry() const;
@@ -131,21 +132,16 @@
   return records;
 }
 
-bool ControlRuntime::OpenPorts() {
+std::optional<RunError> ControlRuntime::OpenPorts() {
   const Settings& own = this->settings;
-  std::string failed;
-  if (!this->link.Start(own.control_address, own.fleet.peer_port)) {
-    failed = "control_address " + FormatEndpoint(own.control_address);
-  } else if (!this->http.Start(own.announce_address)) {
-    failed = "announce_address " + FormatEndpoint(own.announce_address);
-  }
-  if (failed.empty()) {
-    return true;
-  }
-  WriteLog({.id = EventId::kSettingsRejected,
-            .severity = Severity::kError,
-            .text = "cannot listen: " + failed});
-  return false;
+  return OpenFleetPorts(
+      this->loop,
+      {{"control_address", own.control_address,
+        [&](const Endpoint& address) {
+          return this->link.Start(address, own.fleet.peer_port);
+        }},
+       {"announce_address", own.announce_address,
+        [&](const Endpoint& address) { return this->http.Start(address); }}});
 }
 
 void ControlRuntime::ConnectSignals() {
@@ -171,12 +167,13 @@
   const FleetConfig config =
       MakeFleetConfig(this->settings, RandomNumber() | 1U);
   this->instance.config = config;
+  // The log is read once a predecessor, which would write to it, has ended.
+  if (const auto error = this->OpenPorts()) {
+    return *error;
+  }
   const auto log = this->OpenStore();
   this->instance = MakeControlInstance(
       config, log.value_or(std::vector<wire::DurableRecord>()));
-  if (!this->OpenPorts()) {
-    return RunError::kNetwork;
-  }
   this->ConnectSignals();
   this->metrics.Start({.ip = this->settings.announce_address.ip,
                        .port = this->settings.fleet.metrics_port});
--- a/Source/Shell/DatagramPort.cc
+++ b/Source/Shell/DatagramPort.cc
@@ -48,6 +48,8 @@
   const sockaddr_in system = ToSystem(address);
   if (bind(this->fd, reinterpret_cast<const sockaddr*>(&system),
            sizeof(system)) != 0) {
+    close(this->fd);
+    this->fd = -1;
     return false;
   }
   this->readable = event_new(this->base, this->fd, EV_READ | EV_PERSIST,
--- a/Source/Shell/DatagramPort.h
+++ b/Source/Shell/DatagramPort.h
@@ -36,7 +36,7 @@
   /// must stay valid until the handler returns; the queue is sent then.
   sigc::signal<void(std::span<const ReceivedDatagram>)> on_batch;
 
-  /// Returns false when the address cannot be bound.
+  /// Returns false when the address cannot be bound; may be called again then.
   bool Start(const Endpoint& address);
 
   /// Queues a datagram that consists of `prefix` and `body`. `prefix` is
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -4,6 +4,7 @@
 #include "Shell/EndReport.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
+#include "Shell/FleetPorts.h"
 #include "Shell/FleetRuntime.h"
 #include "Shell/FleetSettingsFile.h"
 #include "Shell/HttpServer.h"
@@ -68,7 +69,7 @@
   void operator()(const EntryStopped&) { this->loop.Stop(); }
 
  private:
-  bool OpenPorts();
+  std::optional<RunError> OpenPorts();
   void ConnectSignals();
   void Handle(const EntryEvent& event);
   void HandleCall(std::uint64_t id, const HttpRequest& request);
@@ -106,23 +107,18 @@
   std::vector<std::array<std::uint8_t, 64>> resets;
 };
 
-bool EntryRuntime::OpenPorts() {
+std::optional<RunError> EntryRuntime::OpenPorts() {
   const Settings& own = this->settings;
-  std::string failed;
-  if (!this->link.Start(own.control_address, own.fleet.peer_port)) {
-    failed = "control_address " + FormatEndpoint(own.control_address);
-  } else if (!this->packets.Start(own.packet_address)) {
-    failed = "packet_address " + FormatEndpoint(own.packet_address);
-  } else if (!this->http.Start(own.announce_address)) {
-    failed = "announce_address " + FormatEndpoint(own.announce_address);
-  }
-  if (failed.empty()) {
-    return true;
-  }
-  WriteLog({.id = EventId::kSettingsRejected,
-            .severity = Severity::kError,
-            .text = "cannot listen: " + failed});
-  return false;
+  return OpenFleetPorts(
+      this->loop,
+      {{"control_address", own.control_address,
+        [&](const Endpoint& address) {
+          return this->link.Start(address, own.fleet.peer_port);
+        }},
+       {"packet_address", own.packet_address,
+        [&](const Endpoint& address) { return this->packets.Start(address); }},
+       {"announce_address", own.announce_address,
+        [&](const Endpoint& address) { return this->http.Start(address); }}});
 }
 
 void EntryRuntime::ConnectSignals() {
@@ -153,8 +149,8 @@
 RunError EntryRuntime::Run() {
   this->instance = MakeEntryInstance(
       MakeFleetConfig(this->settings, std::random_device()()));
-  if (!this->OpenPorts()) {
-    return RunError::kNetwork;
+  if (const auto error = this->OpenPorts()) {
+    return *error;
   }
   this->ConnectSignals();
   this->metrics.Start({.ip = this->settings.announce_address.ip,
--- a/Source/Shell/FleetLoop.cc
+++ b/Source/Shell/FleetLoop.cc
@@ -69,6 +69,13 @@
 
 void FleetLoop::Run() { event_base_dispatch(this->Base()); }
 
+bool FleetLoop::Wait(Milliseconds duration) {
+  const timeval delay = ToTimeval(duration);
+  event_base_loopexit(this->Base(), &delay);
+  event_base_dispatch(this->Base());
+  return !this->stop_requested;
+}
+
 void FleetLoop::Stop() {
   const timeval delay = ToTimeval(kExitDelay);
   event_base_loopexit(this->Base(), &delay);
--- a/Source/Shell/FleetLoop.h
+++ b/Source/Shell/FleetLoop.h
@@ -32,6 +32,9 @@
   /// Runs until the delay of `Stop` has passed, or until a SIGINT that follows
   /// another SIGTERM or SIGINT.
   void Run();
+  /// Handles events for a while. Returns false once SIGTERM or SIGINT has
+  /// arrived. Must not be called within `Run`.
+  bool Wait(Milliseconds duration);
   /// Ends `Run` after a short delay, so that answers already written are still
   /// sent.
   void Stop();
--- a/Tests/System/start_test.py
+++ b/Tests/System/start_test.py
@@ -252,5 +252,47 @@
         one.stop()
 
 
+def ports_of_a_predecessor_delay_a_start():
+    for port, kind in ((MESSAGE_PORT, socket.SOCK_DGRAM),
+                       (PACKET_PORT, socket.SOCK_DGRAM),
+                       (READY_PORT, socket.SOCK_STREAM)):
+        with run() as one, socket.socket(socket.AF_INET, kind) as predecessor:
+            predecessor.bind((host(1), port))
+            if kind == socket.SOCK_STREAM:
+                predecessor.listen(1)
+            one.settings.write_text(settings(1))
+            one.start()
+            one.check_runs()
+            predecessor.close()
+            wait_until(lambda: answers(1), 2.0, "port %d is used" % port)
+            one.stop()
+
+
+def log_is_not_opened_while_a_predecessor_runs():
+    with run() as one, socket.socket(socket.AF_INET,
+                                     socket.SOCK_DGRAM) as predecessor:
+        predecessor.bind((host(1), MESSAGE_PORT))
+        data = one.folder / "data"
+        one.settings.write_text(settings(1, True, data))
+        one.start()
+        one.check_runs()
+        assert not data.exists(), list(data.rglob("*"))
+        predecessor.close()
+        wait_until(lambda: answers(1, CALL_PORT), 2.0, "calls are answered")
+        one.stop()
+
+
+def termination_while_a_port_is_in_use_ends_a_start():
+    with run() as one, socket.socket(socket.AF_INET,
+                                     socket.SOCK_DGRAM) as predecessor:
+        predecessor.bind((host(1), MESSAGE_PORT))
+        one.settings.write_text(settings(1))
+        one.start()
+        one.check_runs()
+        begun = time.monotonic()
+        one.stop()
+        assert time.monotonic() - begun < 1.0
+
+
 if __name__ == "__main__":
     globals()[sys.argv[1]]()
