Settings: Start with what has a default, and read unusual text

A value that the platform leaves out (no FaultTolerance, no SeedNodes, no HeartbeatIntervalMs), an unknown key, a path of over 180 bytes or a file that was just being written ended the process with status 3.

An empty value counts as left out.
- inih has a limit of 200 bytes for a line.
It only finds sections and keys now; values are read from the whole line, up to 4,200 bytes.
- A data centre's name goes into messages to all others, as a field that must be UTF-8.
A name that isn't, or that has control characters or over 200 bytes, is a finding.
- A change between the start and the first check is no longer missed: what was read is compared, not what the file holds later.
- A change that can't be used is logged, and that the settings in force are kept.

Before, settings_are_read_again_while_they_are_written and start_fails_for_no_setting_with_a_default ended with status 3, and invalid_settings_change_nothing_in_a_running_process found no such line.

--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -4,34 +4,43 @@
 
 #include <algorithm>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 
+#include "Base/InputError.h"
 #include "Base/Text.h"
 
 namespace filbertwall {
 namespace {
 
 constexpr std::size_t kPublicKeyLength = 40;  // 32 bytes in Z85
+/// Longest line: a key and the longest path.
+constexpr std::size_t kMaxLineBytes = 4200;
+/// Longest name of a data centre that a control instance accepts from servers.
+constexpr std::size_t kMaxNameBytes = 200;
 
 struct Parser {
   ParsedSettings result;
   std::string file;
   std::string_view remaining;
+  std::string_view line_text;  ///< The current line, in full.
   int line = 0;
   std::set<std::string> seen_keys;
 };
 
-void Report(Parser& parser, const std::string& text,
+void Report(Parser& parser, std::string_view text,
             const std::string& expected) {
   parser.result.findings.push_back(Finding{.file = parser.file,
                                            .line = parser.line,
-                                           .text = text,
+                                           .text = Excerpt(text),
                                            .expected = expected});
 }
 
 /// Passes one line per call to inih and counts the lines, so that findings have
-/// a line number.
+/// a line number. inih only looks for sections and keys: it gets the beginning
+/// of a longer line, and values are read from `line_text`. Without leading
+/// spaces no line continues the one before.
 char* ReadLine(char* buffer, int size, void* stream) {
   auto& parser = *static_cast<Parser*>(stream);
   if (parser.remaining.empty()) {
@@ -40,23 +49,72 @@
   ++parser.line;
   const std::size_t newline = parser.remaining.find('\n');
   const std::size_t length = std::min(newline, parser.remaining.size());
-  std::string line(parser.remaining.substr(0, length));
+  parser.line_text = Trim(parser.remaining.substr(0, length));
   parser.remaining.remove_prefix(
       newline == std::string_view::npos ? length : length + 1);
-  if (line.size() + 2 > static_cast<std::size_t>(size)) {
-    Report(parser, line.substr(0, 20) + "...", "a line of at most 198 bytes");
-    line.clear();
+  if (parser.line_text.size() > kMaxLineBytes) {
+    Report(parser, std::string(parser.line_text.substr(0, 20)) + "...",
+           "a line of at most " + std::to_string(kMaxLineBytes) + " bytes");
+    parser.line_text = {};
   }
-  line += '\n';
-  std::copy(line.begin(), line.end(), buffer);
-  buffer[line.size()] = '\0';
+  const std::size_t shown =
+      std::min(parser.line_text.size(), static_cast<std::size_t>(size) - 2);
+  std::copy_n(parser.line_text.begin(), shown, buffer);
+  buffer[shown] = '\n';
+  buffer[shown + 1] = '\0';
   return buffer;
 }
 
+/// Returns the text before a comment: a semicolon after a space.
+std::string_view WithoutComment(std::string_view value) {
+  for (std::size_t i = 1; i < value.size(); ++i) {
+    if (value[i] == ';' && (value[i - 1] == ' ' || value[i - 1] == '\t')) {
+      return Trim(value.substr(0, i));
+    }
+  }
+  return value.starts_with(';') ? std::string_view() : value;
+}
+
+/// Returns the value of a line "key = value"; empty when it is a quoted string
+/// that can't be read.
+std::optional<std::string> ValueOf(std::string_view line) {
+  const std::string_view value =
+      Trim(line.substr(line.find_first_of("=:") + 1));
+  if (!value.starts_with('"')) {
+    return std::string(WithoutComment(value));
+  }
+  const auto text = nlohmann::json::parse(value, nullptr, false);
+  if (!text.is_string()) {
+    return std::nullopt;
+  }
+  return text.get<std::string>();
+}
+
 using Setter = std::function<void(Parser&, const std::string&)>;
 
-Setter TextSetter(std::string& target) {
-  return [&target](Parser&, const std::string& value) { target = value; };
+/// Accepts a name that can be sent to other instances and written to logs.
+Setter NameSetter(std::string& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const bool printable =
+        std::none_of(value.begin(), value.end(), [](char character) {
+          return static_cast<unsigned char>(character) < ' ';
+        });
+    if (value.size() > kMaxNameBytes || !printable || !IsUtf8(value)) {
+      Report(parser, value, "1 to 200 bytes of printable UTF-8");
+      return;
+    }
+    target = value;
+  };
+}
+
+Setter PathSetter(std::string& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    if (value.find('\0') != std::string::npos) {
+      Report(parser, value, "a path");
+      return;
+    }
+    target = value;
+  };
 }
 
 Setter NumberSetter(std::uint32_t& target, std::uint32_t min) {
@@ -189,9 +247,9 @@
 
 Setters InstanceSetters(Settings& settings) {
   return {{"id", IdSetter(settings.id)},
-          {"data_centre", TextSetter(settings.data_centre)},
+          {"data_centre", NameSetter(settings.data_centre)},
           {"roles", RolesSetter(settings.roles)},
-          {"data_folder", TextSetter(settings.data_folder)},
+          {"data_folder", PathSetter(settings.data_folder)},
           {"control_address", EndpointSetter(settings.control_address)},
           {"http_address", EndpointSetter(settings.http_address)},
           {"announce_address", EndpointSetter(settings.announce_address)},
@@ -205,13 +263,13 @@
 
 Setters SecuritySetters(Settings& settings) {
   return {{"mode", CurveSetter(settings.security.curve)},
-          {"secret_key_file", TextSetter(settings.security.secret_key_file)}};
+          {"secret_key_file", PathSetter(settings.security.secret_key_file)}};
 }
 
 Setters PeerSetters(PeerSettings& peer) {
   return {{"address", EndpointSetter(peer.address)},
           {"packet_address", EndpointSetter(peer.packet_address)},
-          {"data_centre", TextSetter(peer.data_centre)},
+          {"data_centre", NameSetter(peer.data_centre)},
           {"roles", RolesSetter(peer.roles)},
           {"public_key", PublicKeySetter(peer.public_key)}};
 }
@@ -224,6 +282,7 @@
     return InstanceSetters(settings);
   }
   if (section == "fleet") {
+    settings.fleet.present = true;
     return FleetSetters(settings.fleet);
   }
   if (section == "security") {
@@ -245,7 +304,7 @@
 }
 
 int HandleEntry(void* user, const char* section, const char* name,
-                const char* value) {
+                const char*) {
   auto& parser = *static_cast<Parser*>(user);
   const Setters setters = SettersForSection(parser, section);
   if (setters.empty()) {
@@ -266,17 +325,45 @@
     Report(parser, name, "each key once in its section");
     return 1;
   }
-  setter->second(parser, value);
+  const auto value = ValueOf(parser.line_text);
+  if (!value) {
+    Report(parser, name, "a JSON string after the first double quote");
+  } else if (!value->empty()) {
+    setter->second(parser, *value);
+  }
   return 1;
 }
 
 void Require(Parser& parser, bool present, const std::string& key,
              const std::string& expected) {
   if (!present) {
+    parser.result.usable = false;
     Report(parser, key, expected);
   }
 }
 
+/// Reports what an instance of a fleet should have, but can start without: it
+/// then waits until the settings name seeds, and prefers no data centre.
+void CheckFleet(Parser& parser) {
+  Settings& settings = parser.result.settings;
+  if (!settings.fleet.present) {
+    Require(parser, settings.id != 0, "[instance]", "id = NUMBER");
+    Require(parser, !settings.data_centre.empty(), "[instance]",
+            "data_centre = NAME");
+    return;
+  }
+  if (settings.id == 0) {
+    Report(parser, "[instance]", "id = NUMBER");
+    settings.id = settings.control_address.ip;
+  }
+  if (settings.data_centre.empty()) {
+    Report(parser, "[instance]", "data_centre = NAME");
+  }
+  if (settings.fleet.seeds.empty()) {
+    Report(parser, "[fleet]", "seeds = IP:PORT,...");
+  }
+}
+
 void CheckPeers(Parser& parser) {
   const Settings& settings = parser.result.settings;
   for (const auto& [id, peer] : settings.peers) {
@@ -296,11 +383,9 @@
 /// Reports required keys that are missing, and roles that exclude each other.
 void CheckRequired(Parser& parser) {
   const Settings& settings = parser.result.settings;
-  const bool fleet = !settings.fleet.seeds.empty();
+  const bool fleet = settings.fleet.present;
   parser.line = 0;
-  Require(parser, settings.id != 0, "[instance]", "id = NUMBER");
-  Require(parser, !settings.data_centre.empty(), "[instance]",
-          "data_centre = NAME");
+  CheckFleet(parser);
   Require(parser, settings.roles.entry || settings.roles.control, "[instance]",
           "roles = entry, control, or both");
   Require(parser, settings.control_address.port != 0, "[instance]",
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -35,6 +35,7 @@
 /// Settings of an instance in a fleet. The instances of a fleet discover each
 /// other at run time through the control instances in `seeds`.
 struct FleetSettings {
+  bool present = false;         ///< The file has a section [fleet].
   std::vector<Endpoint> seeds;  ///< Control instances; empty: no fleet.
   /// The fleet starts for the first time; the seeds become its first voters.
   bool first_start = false;
@@ -69,10 +70,15 @@
 struct ParsedSettings {
   Settings settings;
   std::vector<Finding> findings;  ///< Empty if the settings are valid.
+  /// Whether an instance of a fleet can run with the settings all the same: the
+  /// findings, if any, concern values that have a default.
+  bool usable = true;
 };
 
 /// Parses settings and reports every finding. `file_name` is for diagnostics.
-/// Pure: does not read the files that the settings name.
+/// A value that is empty or has a finding counts as left out. A value in double
+/// quotes is a JSON string. Pure: does not read the files that the settings
+/// name.
 ParsedSettings ParseSettings(const std::string& text,
                              const std::string& file_name);
 
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -41,7 +41,7 @@
   ControlRuntime(const FleetSource& source, const FleetAdapter& fleet_adapter)
       : settings(source.settings),
         adapter(fleet_adapter),
-        file(source.path),
+        file(source.path, source.text),
         link(this->loop.Base()),
         http(this->loop.Base()),
         metrics(this->loop.Base(),
@@ -370,7 +370,7 @@
 
 RunError RunControlInstance(const FleetSource& source,
                             const FleetAdapter& adapter) {
-  StartLog(source.settings.id);
+  StartFleetLog(source);
   ControlRuntime runtime(source, adapter);
   return runtime.Run();
 }
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -54,7 +54,7 @@
   EntryRuntime(const FleetSource& source, const FleetAdapter& fleet_adapter)
       : settings(source.settings),
         adapter(fleet_adapter),
-        file(source.path),
+        file(source.path, source.text),
         link(this->loop.Base()),
         packets(this->loop.Base()),
         http(this->loop.Base()),
@@ -390,9 +390,18 @@
   return config;
 }
 
+void StartFleetLog(const FleetSource& source) {
+  StartLog(source.settings.id);
+  for (const Finding& finding : source.findings) {
+    WriteLog({.id = EventId::kSettingsRejected,
+              .severity = Severity::kWarning,
+              .text = FormatFinding(finding)});
+  }
+}
+
 RunError RunEntryInstance(const FleetSource& source,
                           const FleetAdapter& adapter) {
-  StartLog(source.settings.id);
+  StartFleetLog(source);
   EntryRuntime runtime(source, adapter);
   return runtime.Run();
 }
--- a/Source/Shell/FleetRuntime.h
+++ b/Source/Shell/FleetRuntime.h
@@ -11,20 +11,25 @@
 /// event loop and one thread.
 namespace filbertwall {
 
-/// Settings and the path of the file they were read from. The file is reloaded
-/// when it changes.
+/// Settings and the file they were read from. The file is reloaded when it
+/// changes.
 struct FleetSource {
   std::string path;
+  std::string text;  ///< Contents of the file.
   Settings settings;
+  std::vector<Finding> findings;  ///< Values that were left out.
 };
 
+/// Starts the log of an instance and writes the findings in its settings to it.
+void StartFleetLog(const FleetSource& source);
+
 /// Runs an entry instance until its graceful stop has ended. Precondition: the
-/// settings have no findings and name this role.
+/// settings are usable and name this role.
 RunError RunEntryInstance(const FleetSource& source,
                           const FleetAdapter& adapter);
 
 /// Runs a control instance until its graceful stop has ended. Precondition: the
-/// settings have no findings and name this role.
+/// settings are usable and name this role.
 RunError RunControlInstance(const FleetSource& source,
                             const FleetAdapter& adapter);
 
--- a/Source/Shell/FleetSettingsFile.cc
+++ b/Source/Shell/FleetSettingsFile.cc
@@ -6,14 +6,6 @@
 
 namespace filbertwall {
 
-FleetSettingsFile::FleetSettingsFile(const std::string& file_path)
-    : path(file_path) {
-  const auto bytes = LoadFile(this->path);
-  if (bytes) {
-    this->text = bytes.value();
-  }
-}
-
 std::optional<Settings> FleetSettingsFile::Reload() {
   const auto bytes = LoadFile(this->path);
   if (!bytes) {
@@ -28,12 +20,17 @@
   this->text = bytes.value();
   const InputMark mark(InputKind::kSettings, this->text.size());
   ParsedSettings parsed = ParseSettings(this->text, this->path);
-  if (parsed.findings.empty()) {
+  for (const Finding& finding : parsed.findings) {
+    WriteLog({.id = EventId::kSettingsRejected,
+              .severity = Severity::kWarning,
+              .text = FormatFinding(finding)});
+  }
+  if (parsed.usable && !parsed.settings.fleet.seeds.empty()) {
     return parsed.settings;
   }
   WriteLog({.id = EventId::kSettingsRejected,
             .severity = Severity::kWarning,
-            .text = FormatFinding(parsed.findings.front())});
+            .text = "the settings in force are kept"});
   return std::nullopt;
 }
 
--- a/Source/Shell/FleetSettingsFile.h
+++ b/Source/Shell/FleetSettingsFile.h
@@ -10,11 +10,13 @@
 
 class FleetSettingsFile {
  public:
-  explicit FleetSettingsFile(const std::string& file_path);
+  /// `read_text` are the contents from which the current settings were read.
+  FleetSettingsFile(const std::string& file_path, const std::string& read_text)
+      : path(file_path), text(read_text) {}
 
-  /// Returns the settings if the file has changed since the last call and has
-  /// no findings. Otherwise logs the read error or the first finding, if any,
-  /// and returns nothing, so that the current settings stay in force.
+  /// Returns the settings if the file has changed since the last call, is
+  /// usable and names seeds. Otherwise returns nothing, so that the current
+  /// settings stay in force. Logs the read error or the findings, if any.
   std::optional<Settings> Reload();
 
  private:
--- a/Tests/System/start_test.py
+++ b/Tests/System/start_test.py
@@ -294,5 +294,55 @@
         assert time.monotonic() - begun < 1.0
 
 
+def settings_are_read_again_while_they_are_written():
+    text = settings(1)
+    for cut in (0, 20, len(text) // 2, len(text) - len("mode = none\n")):
+        with run() as one:
+            one.settings.write_text(text[:cut])
+            one.start()
+            one.check_runs()
+            one.settings.write_text(text)
+            wait_until(lambda: answers(1), START_LIMIT, "calls are answered")
+            one.stop()
+
+
+def start_fails_for_no_setting_with_a_default():
+    odd = [{"tolerated_losses": ""}, {"seeds": ""}, {"first_start": None},
+           {"announce_interval": "ms"}, {"data_centre": None}, {"id": None},
+           {"tolerated_losses": "-1", "announce_interval": "1200.5ms"},
+           {"data_centre": "\"\\u0000\""}, {"data_centre": "a" * 4000},
+           {"seeds": "10.0.0.1,%s:%d" % (host(1), CALL_PORT)}]
+    with run() as one:
+        for changes in odd:
+            one.settings.write_text(settings(1, **changes))
+            one.start()
+            wait_until(lambda: answers(1), START_LIMIT, str(changes))
+            one.check_runs()
+            one.stop()
+        text = settings(1, data_centre=None).encode()
+        not_utf8 = text.replace(b"[fleet]", b"data_centre = \xff\xfe\n[fleet]")
+        for odd_text in (b"\xef\xbb\xbf" + text.replace(b"\n", b"\r\n"),
+                         not_utf8):
+            one.settings.write_bytes(odd_text)
+            one.start()
+            wait_until(lambda: answers(1), START_LIMIT, odd_text)
+            one.stop()
+
+
+def invalid_settings_change_nothing_in_a_running_process():
+    with run() as one:
+        one.settings.write_text(settings(1))
+        one.start()
+        wait_until(lambda: answers(1), START_LIMIT, "calls are answered")
+        for text in ("", "[", settings(1)[:60], "[fleet]\nseeds = x\n"):
+            one.settings.write_text(text)
+            one.process.send_signal(signal.SIGHUP)
+            time.sleep(0.05)
+        one.check_runs()
+        assert answers(1)
+        assert "settings in force are kept" in one.log.read_text()
+        one.stop()
+
+
 if __name__ == "__main__":
     globals()[sys.argv[1]]()
