Shell: Make no log text of a packet that will not be logged

The text of a record was put together before the limit of its event was checked, for each refused packet of a flood. It is asked for first now. The line about a malformed packet tells its size.

--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -232,10 +232,13 @@
   FlowPacket packet;
   if (!codec.parse(datagram.bytes, packet)) {
     this->malformed_packets += 1;
-    WriteLog(
-        {.id = EventId::kMalformedInput,
-         .severity = Severity::kWarning,
-         .text = "malformed packet from " + FormatEndpoint(datagram.from)});
+    if (!AcceptsLog(EventId::kMalformedInput)) {
+      return;
+    }
+    WriteLog({.id = EventId::kMalformedInput,
+              .severity = Severity::kWarning,
+              .text = "malformed packet from " + FormatEndpoint(datagram.from) +
+                      " bytes=" + std::to_string(datagram.bytes.size())});
     return;
   }
   this->ProcessPacket(packet, datagram.bytes, now);
@@ -340,20 +343,24 @@
 void EntryRuntime::LogDecision(const FlowPacket& packet,
                                const Decision& decision) {
   const bool forwarded = decision.verdict == Verdict::kForward;
+  const EventId refused = decision.verdict == Verdict::kReset
+                              ? EventId::kFlowRefused
+                              : EventId::kPacketDropped;
+  const EventId id = forwarded ? EventId::kFlowPlaced : refused;
+  if (!AcceptsLog(id)) {
+    return;
+  }
   const Placement& placement = this->instance.forwarder.placement;
   std::string text = "flow=" + FormatEndpoint(packet.key.caller) + ">" +
                      FormatEndpoint(packet.key.address) +
                      " reason=" + ReasonName(decision.reason) + " version=" +
                      std::to_string(this->instance.forwarder.routes.version) +
                      " copies=" + std::to_string(packet.copies);
-  EventId id = EventId::kFlowPlaced;
   if (forwarded) {
     const PlacedServer& server = placement.servers[decision.server];
     text += " server=" + server.id +
             " in_flight=" + std::to_string(server.in_flight);
   } else {
-    id = decision.verdict == Verdict::kReset ? EventId::kFlowRefused
-                                             : EventId::kPacketDropped;
     text += " token=" + std::to_string(packet.token);
   }
   if (decision.reason == ForwardReason::kOverload) {
--- a/Source/Shell/Log.cc
+++ b/Source/Shell/Log.cc
@@ -25,6 +25,7 @@
   std::chrono::steady_clock::time_point second_started;
   std::uint32_t written = 0;
   std::uint64_t suppressed = 0;
+  Severity severity = Severity::kInfo;  ///< Of the last record written.
 };
 
 std::uint32_t g_instance = 0;
@@ -68,6 +69,22 @@
       << " instance=" << g_instance << " " << text;
 }
 
+/// Returns the rate of an event in the current second. At the beginning of a
+/// second, reports what was suppressed in the one before.
+EventRate& CurrentRate(EventId id) {
+  static std::map<EventId, EventRate> rates;
+  EventRate& rate = rates[id];
+  const auto now = std::chrono::steady_clock::now();
+  if (now - rate.second_started >= std::chrono::seconds(1)) {
+    if (rate.suppressed > 0) {
+      Emit(id, rate.severity,
+           std::to_string(rate.suppressed) + " more such records");
+    }
+    rate = EventRate{.second_started = now};
+  }
+  return rate;
+}
+
 }  // namespace
 
 void StartLog(std::uint32_t instance) {
@@ -79,22 +96,22 @@
   boost::log::core::get()->add_sink(sink);
 }
 
-void WriteLog(const LogRecord& record) {
-  static std::map<EventId, EventRate> rates;
-  EventRate& rate = rates[record.id];
-  const auto now = std::chrono::steady_clock::now();
-  if (now - rate.second_started >= std::chrono::seconds(1)) {
-    if (rate.suppressed > 0) {
-      Emit(record.id, record.severity,
-           std::to_string(rate.suppressed) + " more such records");
-    }
-    rate = EventRate{.second_started = now};
+bool AcceptsLog(EventId id) {
+  EventRate& rate = CurrentRate(id);
+  if (rate.written < kMaxRecordsPerSecond) {
+    return true;
   }
-  if (rate.written >= kMaxRecordsPerSecond) {
-    rate.suppressed += 1;
+  rate.suppressed += 1;
+  return false;
+}
+
+void WriteLog(const LogRecord& record) {
+  if (!AcceptsLog(record.id)) {
     return;
   }
+  EventRate& rate = CurrentRate(record.id);
   rate.written += 1;
+  rate.severity = record.severity;
   Emit(record.id, record.severity, record.text);
 }
 
--- a/Source/Shell/Log.h
+++ b/Source/Shell/Log.h
@@ -17,6 +17,10 @@
 /// dropped and counted. Not thread safe.
 void WriteLog(const LogRecord& record);
 
+/// Whether a record of the event would be written now. If not, it is counted as
+/// suppressed, so that its text need not be made. Not thread safe.
+bool AcceptsLog(EventId id);
+
 /// Returns the number of lines dropped since the start because of a slow
 /// reader.
 std::uint64_t LogLinesLost();
