Tests: Flood an entry instance with openings

The flow table holds 100,000 flows, whatever callers send; the test fills it, with each fourth flow opened and reset over and over, and expects less than the 80 MB of the smallest deployment.

--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -30,7 +30,11 @@
 IN_FORCE_LIMIT = 3.0     # ConfigApplyMs of the platform's deployments
 END_DELAY = 0.5          # seconds in which a process that was harmed ends
 HEAD = struct.Struct("<IIIIIHHHBBI")
-SYN = 1
+SYN, RST = 1, 2
+TRACKED_FLOWS = 100000   # limit of an entry instance's flow table
+FLOOD_BURST = 10000
+FLOOD_LIMIT = 60.0       # seconds until the flow table is full
+MEMORY_LIMIT = 80 << 20  # bytes of an entry process in the smallest deployment
 
 
 class SmallFleet:
@@ -69,11 +73,11 @@
             host = urllib.parse.urlparse(answer.getheader("Location")).hostname
         return 0, b""
 
-    def document(self, version):
+    def document(self, version, timeout_ms=1000):
         return {"Version": version, "Limits": {"IdleTimeoutMs": 15000},
                 "Routes": [{"Name": "práctica", "Hostname": "198.18.0.1",
                             "PathPrefix": "/443/", "Type": "safe",
-                            "TimeoutMs": 1000, "Service": "alpha"}],
+                            "TimeoutMs": timeout_ms, "Service": "alpha"}],
                 "Services": [{"Name": "alpha"}, {"Name": "beta"}]}
 
     def submit(self, host=None):
@@ -201,6 +205,46 @@
         small.check()
 
 
+def resident_bytes(process):
+    with open("/proc/%d/status" % process.pid, encoding="ascii") as status:
+        return 1024 * int(re.search(r"VmRSS:\s+(\d+)", status.read()).group(1))
+
+
+def flood(host, first, count):
+    """Opens flows from as many callers; resets each fourth and opens it anew."""
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for number in range(first, first + count):
+        for flags in (SYN, RST, SYN) if number % 4 == 0 else (SYN,):
+            caller.sendto(HEAD.pack(1, 0, 0, 0x7F010000 + number // 60000,
+                                    0xC6120001, 1 + number % 60000, 443, 0,
+                                    flags, 0, 0), (host, PACKET_PORT))
+        if number % 64 == 0:
+            time.sleep(0.001)
+
+
+def flood_of_openings_ends_no_entry_instance_by_memory():
+    with small_fleet() as small:
+        small.version += 1
+        order = json.dumps(small.document(small.version, 600000))
+        assert small.call(small.controls[0].host, "POST", "/api/Config.Replace",
+                          order)[0] == 200
+        wait_until(lambda: small.in_force() == small.version, IN_FORCE_LIMIT,
+                   "the long time-out is in force")
+        end = time.monotonic() + FLOOD_LIMIT
+        number = 0
+        while small.metric(small.entry.host,
+                           "filbertwall_flows_open") < TRACKED_FLOWS:
+            assert time.monotonic() < end, "the flow table isn't full"
+            for server in range(1, 4):
+                small.report("i-%08x" % server, Sequence=2 + number)
+            flood(small.entry.host, number, FLOOD_BURST)
+            number += FLOOD_BURST
+        flood(small.entry.host, number, FLOOD_BURST)
+        used = resident_bytes(small.entry.process)
+        assert used < MEMORY_LIMIT, used
+        small.check()
+
+
 def second_order_on_a_pending_connection_ends_no_control_instance():
     with small_fleet() as small:
         for _ in range(30):
