Rules: Report text that isn't UTF-8

Rules text goes into a message between instances, in a field that must be UTF-8. `check` found nothing in a file with another encoding, and `submit` sent a message that the receiver can't read, so that the operator got no answer. Each such line is now a finding; so is an operator's name that isn't UTF-8.

CommandLine.check-not-utf8 failed before: "version 1, no findings", result 0.

--- a/Source/Commands/Commands.cc
+++ b/Source/Commands/Commands.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 
+#include "Base/InputError.h"
 #include "Base/Text.h"
 #include "Rules/Explain.h"
 #include "Rules/RulesParser.h"
@@ -221,6 +222,11 @@
   if (!checked) {
     return kExitFindings;
   }
+  if (!IsUtf8(operator_name.getValue())) {
+    std::cerr << "error: \"" << Excerpt(operator_name.getValue())
+              << "\": expected a name in UTF-8\n";
+    return kExitUsage;
+  }
   wire::Envelope request;
   request.mutable_submit()->mutable_rules()->set_text(checked->text);
   request.mutable_submit()->mutable_rules()->set_submitter(
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include "Base/InputError.h"
 #include "Base/Text.h"
 
 namespace filbertwall {
@@ -450,6 +451,10 @@
   int number = 0;
   for (const std::string& line : SplitAt(text, '\n')) {
     parser.origin.line = ++number;
+    if (!IsUtf8(line)) {
+      Report(parser, Excerpt(line), "UTF-8 text");
+      continue;
+    }
     ParseLine(parser, line);
   }
   CheckReferences(parser);
