--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -4,6 +4,7 @@
 #include "Shell/EndReport.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
+#include "Shell/FleetPorts.h"
 #include "Shell/FleetRuntime.h"
 #include "Shell/FleetSettingsFile.h"
 #include "Shell/HttpServer.h"
@@ -53,7 +54,7 @@
   EntryRuntime(const FleetSource& source, const FleetAdapter& fleet_adapter)
       : settings(source.settings),
         adapter(fleet_adapter),
-        file(source.path),
+        file(source.path, source.text),
         link(this->loop.Base()),
         packets(this->loop.Base()),
         http(this->loop.Base()),
@@ -68,7 +69,7 @@
   void operator()(const EntryStopped&) { this->loop.Stop(); }
 
  private:
-  bool OpenPorts();
+  std::optional<RunError> OpenPorts();
   void ConnectSignals();
   void Handle(const EntryEvent& event);
   void HandleCall(std::uint64_t id, const HttpRequest& request);
@@ -106,23 +107,18 @@
   std::vector<std::array<std::uint8_t, 64>> resets;
 };
 
-bool EntryRuntime::OpenPorts() {
+std::optional<RunError> EntryRuntime::OpenPorts() {
   const Settings& own = this->settings;
-  std::string failed;
-  if (!this->link.Start(own.control_address, own.fleet.peer_port)) {
-    failed = "control_address " + FormatEndpoint(own.control_address);
-  } else if (!this->packets.Start(own.packet_address)) {
-    failed = "packet_address " + FormatEndpoint(own.packet_address);
-  } else if (!this->http.Start(own.announce_address)) {
-    failed = "announce_address " + FormatEndpoint(own.announce_address);
-  }
-  if (failed.empty()) {
-    return true;
-  }
-  WriteLog({.id = EventId::kSettingsRejected,
-            .severity = Severity::kError,
-            .text = "cannot listen: " + failed});
-  return false;
+  return OpenFleetPorts(
+      this->loop,
+      {{"control_address", own.control_address,
+        [&](const Endpoint& address) {
+          return this->link.Start(address, own.fleet.peer_port);
+        }},
+       {"packet_address", own.packet_address,
+        [&](const Endpoint& address) { return this->packets.Start(address); }},
+       {"announce_address", own.announce_address,
+        [&](const Endpoint& address) { return this->http.Start(address); }}});
 }
 
 void EntryRuntime::ConnectSignals() {
@@ -153,8 +149,8 @@
 RunError EntryRuntime::Run() {
   this->instance = MakeEntryInstance(
       MakeFleetConfig(this->settings, std::random_device()()));
-  if (!this->OpenPorts()) {
-    return RunError::kNetwork;
+  if (const auto error = this->OpenPorts()) {
+    return *error;
   }
   this->ConnectSignals();
   this->metrics.Start({.ip = this->settings.announce_address.ip,
@@ -236,10 +232,13 @@
   FlowPacket packet;
   if (!codec.parse(datagram.bytes, packet)) {
     this->malformed_packets += 1;
-    WriteLog(
-        {.id = EventId::kMalformedInput,
-         .severity = Severity::kWarning,
-         .text = "malformed packet from " + FormatEndpoint(datagram.from)});
+    if (!AcceptsLog(EventId::kMalformedInput)) {
+      return;
+    }
+    WriteLog({.id = EventId::kMalformedInput,
+              .severity = Severity::kWarning,
+              .text = "malformed packet from " + FormatEndpoint(datagram.from) +
+                      " bytes=" + std::to_string(datagram.bytes.size())});
     return;
   }
   this->ProcessPacket(packet, datagram.bytes, now);
@@ -344,20 +343,24 @@
 void EntryRuntime::LogDecision(const FlowPacket& packet,
                                const Decision& decision) {
   const bool forwarded = decision.verdict == Verdict::kForward;
+  const EventId refused = decision.verdict == Verdict::kReset
+                              ? EventId::kFlowRefused
+                              : EventId::kPacketDropped;
+  const EventId id = forwarded ? EventId::kFlowPlaced : refused;
+  if (!AcceptsLog(id)) {
+    return;
+  }
   const Placement& placement = this->instance.forwarder.placement;
   std::string text = "flow=" + FormatEndpoint(packet.key.caller) + ">" +
                      FormatEndpoint(packet.key.address) +
                      " reason=" + ReasonName(decision.reason) + " version=" +
                      std::to_string(this->instance.forwarder.routes.version) +
                      " copies=" + std::to_string(packet.copies);
-  EventId id = EventId::kFlowPlaced;
   if (forwarded) {
     const PlacedServer& server = placement.servers[decision.server];
     text += " server=" + server.id +
             " in_flight=" + std::to_string(server.in_flight);
   } else {
-    id = decision.verdict == Verdict::kReset ? EventId::kFlowRefused
-                                             : EventId::kPacketDropped;
     text += " token=" + std::to_string(packet.token);
   }
   if (decision.reason == ForwardReason::kOverload) {
@@ -394,9 +397,18 @@
   return config;
 }
 
+void StartFleetLog(const FleetSource& source) {
+  StartLog(source.settings.id);
+  for (const Finding& finding : source.findings) {
+    WriteLog({.id = EventId::kSettingsRejected,
+              .severity = Severity::kWarning,
+              .text = FormatFinding(finding)});
+  }
+}
+
 RunError RunEntryInstance(const FleetSource& source,
                           const FleetAdapter& adapter) {
-  StartLog(source.settings.id);
+  StartFleetLog(source);
   EntryRuntime runtime(source, adapter);
   return runtime.Run();
 }
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -136,6 +136,17 @@
   CHECK(this->Decide(OpeningPacket(2)).verdict == Verdict::kReset);
 }
 
+TEST(Forwarder, AResetIsNotAnsweredWithAReset) {
+  wire::RoutesUpdate update;
+  update.set_base_version(4);
+  update.set_version(5);
+  update.add_removed(KeyOf(kAddress));
+  CHECK(ApplyRoutes(this->forwarder.routes, update, this->forwarder.placement));
+  FlowPacket reset = LaterPacket(1, 0);
+  reset.aborts = true;
+  CHECK(this->Decide(reset).verdict == Verdict::kDrop);
+}
+
 TEST(Forwarder, OlderRulesAreRejected) {
   CHECK_FALSE(ApplyRoutes(this->forwarder.routes, MakeRoutes(0, 4, "other"),
                           this->forwarder.placement));
@@ -193,6 +204,35 @@
   LONGS_EQUAL(0, this->forwarder.flows.size());
 }
 
+TEST(Forwarder, EndedFlowsLeaveNothingBehind) {
+  for (std::uint32_t i = 0; i < 10000; ++i) {
+    const auto port = static_cast<std::uint16_t>(1 + i % 100);
+    const TimePoint now = kStart + Microseconds(i);
+    const Decision opened = this->Decide(OpeningPacket(port), now);
+    CHECK(opened.verdict == Verdict::kForward);
+    FlowPacket last = LaterPacket(port, this->At(opened.server).token);
+    last.aborts = true;
+    this->Decide(last, now);
+  }
+  LONGS_EQUAL(0, this->forwarder.flows.size());
+  LONGS_EQUAL(0, this->forwarder.timers.size());
+}
+
+TEST(Forwarder, FlowsOfARouteWithoutSharesAreReset) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 8, "proof");
+  routes.mutable_set(0)->mutable_shares(0)->set_weight(0);
+  CHECK(ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement));
+  CHECK(this->Decide(OpeningPacket(1)).verdict == Verdict::kReset);
+}
+
+TEST(Forwarder, WeightsThatAddUpTo32BitsAreNoneTheLess) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 8, "proof");
+  routes.mutable_set(0)->mutable_shares(0)->set_weight(1U << 31U);
+  *routes.mutable_set(0)->add_shares() = routes.set(0).shares(0);
+  CHECK(ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement));
+  CHECK(this->Decide(OpeningPacket(1)).verdict == Verdict::kForward);
+}
+
 TEST(Forwarder, UnknownTokensAndAddressesReachNoServer) {
   CHECK(this->Decide(LaterPacket(1, 0xdead)).verdict == Verdict::kDrop);
   FlowPacket opening = OpeningPacket(1);
@@ -274,6 +314,15 @@
   LONGS_EQUAL(1, this->ReleaseAll(kStart + Milliseconds(500)).size());
 }
 
+TEST(HeldOpenings, AFloodKeepsLaterPacketsOutOnlyUntilItExpires) {
+  for (std::uint16_t port = 1; port <= 5000; ++port) {
+    CHECK(this->Hold(port, 0));
+  }
+  CHECK_FALSE(this->Hold(6000, 0));
+  CHECK(this->Hold(6000, 0, kStart + Milliseconds(200)));
+  LONGS_EQUAL(1, this->held.openings.size());
+}
+
 TEST(HeldOpenings, PacketsOfFlowsOpenedElsewhereAreDiscarded) {
   CHECK(this->Hold(1, 2));
   CHECK(this->Hold(2, 2));
