Shell: Take a log record that lacks its first bytes for the end of the log

Callers saw a control instance that took no part after a loss of power until its folder was emptied. A record that was torn in its first 8 bytes, or that lacked its first sector, with zeros or later sectors behind it, counted as corrupt.

A record is the end of the log if it is cut short, or if a sector of it or its end is zero, and no later record was begun: nothing but zeros follows the end that its header names or, if the header is damaged, no intact header follows. All else stays an error. Records are read one at a time, as a log of 200 MB would exceed the memory of an instance, and a record longer than any that is written is refused before it is read. A replacement that fails leaves no temporary file, which would take the room that is missing.

A last record in which single bytes were zeroed after its sync can't be told from a torn one.

--- a/Source/Shell/ControlStore.cc
+++ b/Source/Shell/ControlStore.cc
@@ -20,7 +20,11 @@
 constexpr char kLockName[] = "/lock";
 constexpr std::size_t kRecordHeaderBytes =
     16;  // Length, length check, body checksum.
-constexpr std::uint32_t kMaxRecordBytes = 256U << 20U;
+/// More than the longest state, with a rules file of the longest call.
+constexpr std::uint32_t kMaxRecordBytes = 32U << 20U;
+/// Disks write sectors of at least this size whole or not at all.
+constexpr std::size_t kSectorBytes = 512;
+constexpr std::size_t kReadBytes = 1U << 16U;
 constexpr std::size_t kMinLogBytes = 64UL * 1024UL;
 constexpr std::size_t kLogGrowthFactor = 4;
 
@@ -46,6 +50,151 @@
   return bytes.find_first_not_of('\0') == std::string_view::npos;
 }
 
+bool IsIntact(const RecordHeader& header) {
+  return header.length_check == ComputeLengthCheck(header.length);
+}
+
+/// A log that is read in parts.
+struct LogInput {
+  std::size_t size = 0;
+  /// Returns the bytes at `offset`, fewer if they can't be read.
+  std::function<std::string(std::size_t offset, std::size_t length)> read;
+};
+
+bool IsAllZeros(const LogInput& log, std::size_t begin, std::size_t end) {
+  for (std::size_t at = begin; at < end; at += kReadBytes) {
+    if (!IsAllZeros(log.read(at, std::min(kReadBytes, end - at)))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Returns whether an intact header begins at `begin` or behind it, i.e.
+/// whether a record was begun after the one before `begin` had been synced.
+bool HasLaterHeader(const LogInput& log, std::size_t begin) {
+  for (std::size_t at = begin; at + kRecordHeaderBytes <= log.size;
+       at += kReadBytes) {
+    const std::string bytes =
+        log.read(at, std::min(kReadBytes + kRecordHeaderBytes, log.size - at));
+    for (std::size_t i = 0; i + kRecordHeaderBytes <= bytes.size(); ++i) {
+      const RecordHeader header = ReadRecordHeader(bytes.data() + i);
+      if (header.length != 0 && header.length <= kMaxRecordBytes &&
+          IsIntact(header)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// Returns whether the bytes from `begin` to `end` lack a whole sector or their
+/// end, as after a write that a loss of power has interrupted.
+bool LacksSector(const LogInput& log, std::size_t begin, std::size_t end) {
+  if (IsAllZeros(log, end - 1, end)) {
+    return true;
+  }
+  for (std::size_t at = begin; at < end;) {
+    const std::size_t next =
+        std::min(end, (at / kSectorBytes + 1) * kSectorBytes);
+    if (IsAllZeros(log, at, next)) {
+      return true;
+    }
+    at = next;
+  }
+  return false;
+}
+
+enum class RecordState {
+  kValid,
+  kTorn,  ///< The write of the last record was interrupted.
+  kDamagedHeader,
+  kDamagedBody,
+  kTooLarge,
+  kUnreadable,  ///< The checksum is valid, but this build can't parse it.
+};
+
+/// Reads the record at `offset`. Sets `end` to the end of a valid one.
+RecordState ReadRecord(const LogInput& log, std::size_t offset,
+                       wire::DurableRecord& record, std::size_t& end) {
+  const std::size_t rest = log.size - offset;
+  if (rest < kRecordHeaderBytes) {
+    return RecordState::kTorn;
+  }
+  const std::string head = log.read(offset, kRecordHeaderBytes);
+  if (head.size() < kRecordHeaderBytes) {
+    return RecordState::kDamagedHeader;
+  }
+  const RecordHeader header = ReadRecordHeader(head.data());
+  if (!IsIntact(header)) {
+    return LacksSector(log, offset, log.size) &&
+                   !HasLaterHeader(log, offset + 1)
+               ? RecordState::kTorn
+               : RecordState::kDamagedHeader;
+  }
+  if (header.length > kMaxRecordBytes) {
+    return RecordState::kTooLarge;
+  }
+  if (rest - kRecordHeaderBytes < header.length) {
+    return RecordState::kTorn;
+  }
+  const std::size_t body_begin = offset + kRecordHeaderBytes;
+  end = body_begin + header.length;
+  const std::string body = log.read(body_begin, header.length);
+  if (body.size() != header.length || Hash64(body) != header.checksum) {
+    return IsAllZeros(log, end, log.size) && LacksSector(log, offset, end)
+               ? RecordState::kTorn
+               : RecordState::kDamagedBody;
+  }
+  return record.ParseFromString(body) ? RecordState::kValid
+                                      : RecordState::kUnreadable;
+}
+
+StoreFailure MakeRecordFailure(RecordState state, std::size_t offset) {
+  const std::string where = " at byte " + std::to_string(offset);
+  switch (state) {
+    case RecordState::kTooLarge:
+      return {.error = StoreError::kTooLarge,
+              .detail = "control log: a record is too long" + where};
+    case RecordState::kUnreadable:
+      return {.error = StoreError::kCorrupt,
+              .detail = "control log: this build can't parse a record" + where};
+    case RecordState::kDamagedBody:
+      return {.error = StoreError::kCorrupt,
+              .detail = "control log: invalid checksum of a record" + where};
+    case RecordState::kDamagedHeader:
+    case RecordState::kTorn:
+    case RecordState::kValid:
+      break;
+  }
+  return {.error = StoreError::kCorrupt,
+          .detail = "control log: invalid length check of a record" + where};
+}
+
+/// Decodes a log. Passes its records to `visit`.
+StoreResult<LogContents> DecodeRecords(const LogInput& log,
+                                       const RecordVisitor& visit) {
+  const InputMark mark(InputKind::kStoredFile, log.size);
+  LogContents contents;
+  std::size_t offset = 0;
+  while (offset < log.size) {
+    wire::DurableRecord record;
+    std::size_t end = offset;
+    const RecordState state = ReadRecord(log, offset, record, end);
+    if (state == RecordState::kTorn) {
+      contents.tail_truncated = true;
+      break;
+    }
+    if (state != RecordState::kValid) {
+      return MakeRecordFailure(state, offset);
+    }
+    visit(std::move(record));
+    offset = end;
+  }
+  contents.valid_bytes = offset;
+  return contents;
+}
+
 bool WriteAll(int fd, const std::string& bytes) {
   std::size_t written = 0;
   while (written < bytes.size()) {
@@ -62,6 +211,25 @@
   return true;
 }
 
+/// Reads `length` bytes at `offset`; fewer at the end or after an error.
+std::string ReadAt(int fd, std::size_t offset, std::size_t length) {
+  std::string bytes(length, '\0');
+  std::size_t filled = 0;
+  while (filled < length) {
+    const ssize_t count = pread(fd, bytes.data() + filled, length - filled,
+                                static_cast<off_t>(offset + filled));
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      break;
+    }
+    filled += static_cast<std::size_t>(count);
+  }
+  bytes.resize(filled);
+  return bytes;
+}
+
 bool SyncFolder(const std::string& folder) {
   const int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (fd < 0) {
@@ -79,6 +247,8 @@
 
 /// Writes `bytes` to a temporary file beside `path`, syncs it and renames it to
 /// `path`. Returns the descriptor of the new file, opened for appending.
+/// Removes the temporary file when it fails, as it would take the room that is
+/// missing.
 StoreResult<int> ReplaceFile(const std::string& path,
                              const std::string& bytes) {
   const std::string temporary = path + ".new";
@@ -88,15 +258,21 @@
   if (fd < 0) {
     return MakeFailure(StoreError::kOpenFailed, temporary);
   }
-  if (!WriteAll(fd, bytes)) {
+  const bool written = WriteAll(fd, bytes);
+  if (!written || fsync(fd) != 0 ||
+      rename(temporary.c_str(), path.c_str()) != 0) {
+    StoreFailure failure = MakeFailure(
+        written ? StoreError::kSyncFailed : StoreError::kWriteFailed,
+        temporary);
     close(fd);
-    return MakeFailure(StoreError::kWriteFailed, temporary);
+    unlink(temporary.c_str());
+    return failure;
   }
   const std::string folder = std::filesystem::path(path).parent_path();
-  if (fsync(fd) != 0 || rename(temporary.c_str(), path.c_str()) != 0 ||
-      !SyncFolder(folder)) {
+  if (!SyncFolder(folder)) {
+    StoreFailure failure = MakeFailure(StoreError::kSyncFailed, folder);
     close(fd);
-    return MakeFailure(StoreError::kSyncFailed, temporary);
+    return failure;
   }
   return fd;
 }
@@ -116,49 +292,17 @@
 }
 
 StoreResult<LogContents> DecodeLog(const std::string& bytes) {
-  const InputMark mark(InputKind::kStoredFile, bytes.size());
-  LogContents contents;
-  const std::string_view view = bytes;
-  std::size_t offset = 0;
-  const auto corrupt = [&](const std::string& what) {
-    return StoreFailure{.error = StoreError::kCorrupt,
-                        .detail = what + " at byte " + std::to_string(offset)};
-  };
-  while (offset < bytes.size()) {
-    const std::string_view rest = view.substr(offset);
-    if (rest.size() < kRecordHeaderBytes || IsAllZeros(rest)) {
-      contents.tail_truncated = true;
-      break;
-    }
-    const RecordHeader header = ReadRecordHeader(rest.data());
-    if (header.length_check != ComputeLengthCheck(header.length) ||
-        header.length > kMaxRecordBytes) {
-      return corrupt("invalid length check of a record");
-    }
-    if (rest.size() - kRecordHeaderBytes < header.length) {
-      contents.tail_truncated = true;
-      break;
-    }
-    const std::string_view body =
-        rest.substr(kRecordHeaderBytes, header.length);
-    wire::DurableRecord record;
-    const bool valid =
-        Hash64(body) == header.checksum &&
-        record.ParseFromArray(body.data(), static_cast<int>(body.size()));
-    if (!valid) {
-      // A zero-filled second half means that the write was interrupted.
-      const std::size_t second_half = kRecordHeaderBytes + header.length / 2;
-      const bool last = rest.size() == kRecordHeaderBytes + header.length;
-      if (last && IsAllZeros(rest.substr(second_half))) {
-        contents.tail_truncated = true;
-        break;
-      }
-      return corrupt("invalid checksum of a record");
-    }
-    contents.records.push_back(std::move(record));
-    offset += kRecordHeaderBytes + header.length;
+  const LogInput log{.size = bytes.size(),
+                     .read = [&](std::size_t offset, std::size_t length) {
+                       return bytes.substr(offset, length);
+                     }};
+  std::vector<wire::DurableRecord> records;
+  auto contents = DecodeRecords(log, [&](wire::DurableRecord&& record) {
+    records.push_back(std::move(record));
+  });
+  if (contents) {
+    contents.value().records = std::move(records);
   }
-  contents.valid_bytes = offset;
   return contents;
 }
 
@@ -178,8 +322,18 @@
 }
 
 StoreResult<LogContents> ControlStore::Open(const std::string& path) {
-  this->folder = path;
-  const std::string lock = path + kLockName;
+  std::vector<wire::DurableRecord> records;
+  auto contents = this->Open(path, [&](wire::DurableRecord&& record) {
+    records.push_back(std::move(record));
+  });
+  if (contents) {
+    contents.value().records = std::move(records);
+  }
+  return contents;
+}
+
+StoreResult<void> ControlStore::Lock() {
+  const std::string lock = this->folder + kLockName;
   this->lock_fd =
       open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, S_IRUSR | S_IWUSR);
   if (this->lock_fd < 0) {
@@ -189,24 +343,36 @@
     return MakeFailure(StoreError::kLocked,
                        lock + " is locked by another process");
   }
+  return boost::outcome_v2::success();
+}
+
+StoreResult<LogContents> ControlStore::Open(const std::string& path,
+                                            const RecordVisitor& visit) {
+  this->folder = path;
+  if (const auto locked = this->Lock(); !locked) {
+    return locked.error();
+  }
   const std::string log = path + kLogName;
-  std::string bytes;
-  if (std::filesystem::exists(log)) {
-    auto loaded = LoadFile(log);
-    if (!loaded) {
-      return loaded.error();
-    }
-    bytes = std::move(loaded.value());
+  this->fd = open(log.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC,
+                  S_IRUSR | S_IWUSR);
+  struct stat status {};
+  if (this->fd < 0 || fstat(this->fd, &status) != 0) {
+    return MakeFailure(StoreError::kOpenFailed, log);
+  }
+  bool read_failed = false;
+  const LogInput input{.size = static_cast<std::size_t>(status.st_size),
+                       .read = [&](std::size_t offset, std::size_t length) {
+                         std::string bytes = ReadAt(this->fd, offset, length);
+                         read_failed = read_failed || bytes.size() != length;
+                         return bytes;
+                       }};
+  auto contents = DecodeRecords(input, visit);
+  if (read_failed) {
+    return MakeFailure(StoreError::kReadFailed, log);
   }
-  auto contents = DecodeLog(bytes);
   if (!contents) {
     return contents.error();
   }
-  this->fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                  S_IRUSR | S_IWUSR);
-  if (this->fd < 0) {
-    return MakeFailure(StoreError::kOpenFailed, log);
-  }
   const auto valid = static_cast<off_t>(contents.value().valid_bytes);
   if (ftruncate(this->fd, valid) != 0 || fsync(this->fd) != 0 ||
       !SyncFolder(path)) {
@@ -223,6 +389,10 @@
                        "an earlier write or sync of the control log failed");
   }
   const std::string encoded = EncodeRecord(record);
+  if (encoded.size() - kRecordHeaderBytes > kMaxRecordBytes) {
+    return StoreFailure{.error = StoreError::kTooLarge,
+                        .detail = "a record for the control log is too long"};
+  }
   if (!WriteAll(this->fd, encoded)) {
     return this->Fail(StoreError::kWriteFailed, this->folder + kLogName);
   }
--- a/Source/Shell/ControlStore.h
+++ b/Source/Shell/ControlStore.h
@@ -2,6 +2,7 @@
 
 #include <boost/outcome.hpp>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
   kOpenFailed,
   kReadFailed,
   kCorrupt,
+  kTooLarge,  ///< A record is longer than any that is written.
   kWriteFailed,
   kSyncFailed,
   kLocked,
@@ -32,14 +34,20 @@
 
 /// The decoded contents of a log file.
 struct LogContents {
+  /// Empty if the records were passed to a `RecordVisitor`.
   std::vector<wire::DurableRecord> records;
   std::size_t valid_bytes = 0;
   bool tail_truncated = false;  ///< An incomplete last record was dropped.
 };
 
-/// Decodes a log. Drops a last record that is incomplete, either truncated or
-/// zero-filled to its end. Returns kCorrupt with the byte offset for any other
-/// fault. Has no side effects.
+/// Is passed the records of a log in the order in which they were written.
+using RecordVisitor = std::function<void(wire::DurableRecord&&)>;
+
+/// Decodes a log. Drops a last record of which a loss of power has left a part:
+/// it is cut short, or it is zero to its end or in whole sectors. Such a record
+/// was never synced, as no later one was begun. Returns kCorrupt with the byte
+/// offset for any other fault, and for every damaged record that a later one
+/// follows. Has no side effects.
 StoreResult<LogContents> DecodeLog(const std::string& bytes);
 
 /// Returns the record with its header, as it is written to the log.
@@ -60,6 +68,11 @@
   /// holds the lock.
   StoreResult<LogContents> Open(const std::string& folder);
 
+  /// The same, but passes the records to `visit` instead of keeping them, so
+  /// that a log of any size needs the memory of its longest record only.
+  StoreResult<LogContents> Open(const std::string& folder,
+                                const RecordVisitor& visit);
+
   /// Appends the record and syncs the log. The record is durable only after
   /// this function has returned success.
   StoreResult<void> Append(const wire::DurableRecord& record);
@@ -72,6 +85,7 @@
   StoreResult<void> Replace(const wire::DurableRecord& snapshot);
 
  private:
+  StoreResult<void> Lock();
   /// Marks the store as failed and returns the error.
   StoreResult<void> Fail(StoreError error, const std::string& what);
 
@@ -83,8 +97,9 @@
   std::size_t snapshot_bytes = 0;
 };
 
-/// Writes a whole file atomically and syncs it. Used for files outside the
-/// control log, such as saved rules and the saved registry.
+/// Writes a whole file atomically and syncs it. Leaves no temporary file when
+/// it fails. Used for files outside the control log, such as saved rules and
+/// the saved registry.
 StoreResult<void> SaveFile(const std::string& path, const std::string& bytes);
 
 /// Reads a whole file.
