Control: Tell a removed voter at once that it no longer votes

Callers saw 503 "no leader is known" from a control instance for more than 4 s after its disk had room again. It had been replaced as a voter meanwhile, took itself for one still, got no heartbeats, and asked to join only after 4 s without a leader.

A leader now sends the state to a removed voter that asks for leases or promises, both of which it does when it returns. The state makes it take a new incarnation and ask to join.

--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -76,6 +76,17 @@
   }
 }
 
+/// Returns whether the message shows that its sender takes itself for a voter,
+/// though it was removed while it was away.
+bool IsFromRemovedVoter(const Replica& replica, const ControlReceived& event) {
+  const wire::ControlMessage& message = event.message;
+  return (message.has_lease_query() || message.has_prepare()) &&
+         replica.config.open_membership &&
+         replica.role == ReplicaRole::kLeader &&
+         message.cluster() == replica.committed.cluster() &&
+         WasRemoved(replica.committed, event.from, message.incarnation());
+}
+
 /// Handles a message of an instance that has the state of the same cluster.
 void HandleClusterMessage(ReplicaContext& context, const ControlReceived& event,
                           bool from_voter) {
@@ -140,6 +151,9 @@
   }
   const bool from_voter =
       IsVoter(replica.committed, event.from, message.incarnation());
+  if (IsFromRemovedVoter(replica, event)) {
+    SendInstall(context, event.from);
+  }
   // An instance without state cannot lead, which its reply tells.
   if (message.has_lease_query()) {
     HandleLeaseQuery(context, event.from, message.lease_query());
--- a/Tests/Control/FleetReplicaTest.cc
+++ b/Tests/Control/FleetReplicaTest.cc
@@ -181,3 +181,19 @@
     STRCMP_EQUAL("", RunRandomFleetHistory(seed).c_str());
   }
 }
+
+TEST(FleetReplica, RemovedVoterThatReturnsIsToldSoAtOnce) {
+  ReplicaGroup group = MakeFleet(1, kFounders, 4);
+  Settle(group);
+  const std::uint32_t leader = FindLeader(group);
+  std::set<std::uint32_t> voters = VoterIds(group);
+  voters.erase(leader);
+  const std::uint32_t removed = *voters.begin();
+  group.stopped_instances.insert(removed);
+  RunFor(group, Milliseconds(4000));
+  CHECK_FALSE(VoterIds(group).contains(removed));
+  StartInstance(group, removed);
+  RunFor(group, Milliseconds(1000));
+  LONGS_EQUAL(leader, group.replicas.at(removed).leader);
+  LONGS_EQUAL(leader, FindLeader(group));
+}
