Fleet: Answer every call when a write to the disk fails

Callers saw changes that stayed unanswered for good: the effects behind a failed write were dropped, so calls that were answered behind it, such as the verdict on a change or the timed-out ones of the same tick, never got an answer and stayed in the list of calls. Submissions that waited for a leader, or arrived while writes failed, were held for 0.7 s first. A registry whose saving failed was not saved again until a server changed.

EffectAfterFailedWrite decides what is executed behind a failed write: calls are answered as unavailable, the registry is saved, and nothing that may rely on the record is said. Waiting submissions are answered at once. RegistryNotSaved makes the registry be saved again.

The simulation of a fleet has full disks now.

--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -16,6 +16,8 @@
 /// considers its registry complete: each backend server has reported by then.
 inline constexpr int kIntervalsUntilSettled = 2;
 
+inline constexpr char kDiskFailedReason[] = "writes to the disk fail";
+
 /// The event being handled: state, time and the effects so far.
 struct ControlContext {
   ControlInstance& instance;
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -1,6 +1,7 @@
 #include "Fleet/ControlInstance.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "Base/Endpoint.h"
 #include "Base/Hash.h"
@@ -24,6 +25,9 @@
 /// Lower limit of the number of voters, also if no disk loss has to be
 /// tolerated.
 constexpr std::uint32_t kMinVoters = 3;
+/// No registry has this change, so the registry is saved again.
+constexpr std::uint64_t kNoSavedChange =
+    std::numeric_limits<std::uint64_t>::max();
 
 void ApplyCommittedRules(ControlContext& context) {
   ControlInstance& instance = context.instance;
@@ -257,10 +261,14 @@
     ControlInstance& instance = this->context.instance;
     instance.disk_failed = true;
     for (const auto& [token, proposal] : instance.proposals) {
-      Answer(this->context, AnswerCall{.call = proposal.call,
-                                       .reason = "writes to the disk fail"});
+      Answer(this->context,
+             AnswerCall{.call = proposal.call, .reason = kDiskFailedReason});
     }
     instance.proposals.clear();
+    RetrySubmissions(this->context);
+  }
+  void operator()(const RegistryNotSaved&) {
+    this->context.instance.saved_change = kNoSavedChange;
   }
   void operator()(const ControlDiskRestored& event) {
     ControlInstance& instance = this->context.instance;
@@ -314,6 +322,17 @@
   return heard && other && !context.instance.disk_failed ? replica.leader : 0;
 }
 
+std::optional<ControlInstanceEffect> EffectAfterFailedWrite(
+    const ControlInstanceEffect& effect) {
+  if (const auto* answer = std::get_if<AnswerCall>(&effect)) {
+    return AnswerCall{.call = answer->call, .reason = kDiskFailedReason};
+  }
+  if (std::holds_alternative<SaveRegistry>(effect)) {
+    return effect;
+  }
+  return std::nullopt;
+}
+
 ControlInstance MakeControlInstance(
     const FleetConfig& config, const std::vector<wire::DurableRecord>& log) {
   ControlInstance instance{.config = config};
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -156,10 +157,13 @@
 struct ControlDiskRestored {
   std::vector<wire::DurableRecord> log;
 };
+/// The last `SaveRegistry` failed.
+struct RegistryNotSaved {};
 using ControlInstanceEvent =
     std::variant<ControlInstanceStarted, ControlInstanceTick, PeerMessage,
                  ServerReported, RulesSubmitted, RulesRead,
-                 ControlStopRequested, ControlDiskFailed, ControlDiskRestored>;
+                 ControlStopRequested, ControlDiskFailed, ControlDiskRestored,
+                 RegistryNotSaved>;
 
 enum class CallVerdict {
   kAccepted,     ///< Done, or nothing was left to do.
@@ -192,6 +196,12 @@
     std::variant<SendMessage, AnswerCall, PersistRecord, SaveRegistry,
                  LogRecord>;
 
+/// Returns what is executed of an effect that follows a failed `PersistRecord`
+/// in the same list. Its calls are answered as unavailable; nothing else that
+/// may rely on the record is said.
+std::optional<ControlInstanceEffect> EffectAfterFailedWrite(
+    const ControlInstanceEffect& effect);
+
 /// Creates an instance from the log on its disk.
 ControlInstance MakeControlInstance(
     const FleetConfig& config, const std::vector<wire::DurableRecord>& log);
--- a/Source/Fleet/Submissions.cc
+++ b/Source/Fleet/Submissions.cc
@@ -33,7 +33,11 @@
     Answer(context, Accepted(call));
     return true;
   }
-  if (instance.replica.role == ReplicaRole::kLeader && !instance.disk_failed) {
+  if (instance.disk_failed) {
+    Answer(context, Unavailable(call, kDiskFailedReason));
+    return true;
+  }
+  if (instance.replica.role == ReplicaRole::kLeader) {
     const std::uint64_t token = instance.next_token++;
     instance.proposals[token] =
         Proposal{.call = call, .proposed_at = context.now};
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <utility>
 
 #include "Fleet/ControlInstance.h"
 #include "Shell/ControlStore.h"
@@ -95,6 +96,7 @@
   TimePoint next_disk_retry_at = TimePoint::max();
   TimePoint stop_at = TimePoint::max();
   bool disk_failed = false;
+  bool registry_not_saved = false;
 };
 
 std::optional<std::vector<wire::DurableRecord>> ControlRuntime::OpenStore() {
@@ -201,14 +203,18 @@
   const bool disk_worked = !this->disk_failed;
   for (const ControlInstanceEffect& effect :
        Reduce(this->instance, event, FleetNow())) {
-    if (disk_worked && this->disk_failed) {
-      break;  // Nothing may be sent that relies on a failed write.
+    if (!disk_worked || !this->disk_failed) {
+      std::visit(*this, effect);
+    } else if (const auto allowed = EffectAfterFailedWrite(effect)) {
+      std::visit(*this, *allowed);
     }
-    std::visit(*this, effect);
   }
   if (disk_worked && this->disk_failed) {
     this->Handle(ControlDiskFailed{});
   }
+  if (std::exchange(this->registry_not_saved, false)) {
+    this->Handle(RegistryNotSaved{});
+  }
   this->RearmTimer();
 }
 
@@ -338,6 +344,7 @@
     WriteLog({.id = EventId::kRegistryNotSaved,
               .severity = Severity::kWarning,
               .text = saved.error().detail});
+    this->registry_not_saved = true;
   }
 }
 
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -22,6 +22,9 @@
   std::map<InstanceAddress, std::vector<wire::DurableRecord>> disks;
   std::map<InstanceAddress, wire::SavedRegistry> saved;
   std::set<InstanceAddress> down;
+  std::set<InstanceAddress> full_disks;  ///< Writes to them fail.
+  /// When the failed disk of an instance is tried again.
+  std::map<InstanceAddress, TimePoint> disk_retry_at;
   /// Whether a message from the first instance to the second is lost.
   std::function<bool(InstanceAddress, InstanceAddress)> is_lost =
       [](InstanceAddress, InstanceAddress) { return false; };
@@ -47,20 +50,66 @@
   }
 }
 
+/// Executes an effect of a control instance. Returns false if a write failed.
+inline bool Execute(FleetWorld& world, InstanceAddress id,
+                    const ControlInstanceEffect& effect) {
+  const bool full = world.full_disks.contains(id);
+  if (const auto* send = std::get_if<SendMessage>(&effect)) {
+    QueueMessage(world, id, *send);
+  } else if (const auto* record = std::get_if<PersistRecord>(&effect)) {
+    if (full) {
+      return false;
+    }
+    world.disks[id].push_back(record->record);
+  } else if (const auto* save = std::get_if<SaveRegistry>(&effect)) {
+    if (!full) {
+      world.saved[id] = save->saved;
+    }
+  } else if (const auto* answer = std::get_if<AnswerCall>(&effect)) {
+    world.answers[answer->call] = *answer;
+  }
+  return true;
+}
+
+/// Applies an event and executes its effects as a process does.
 inline void Apply(FleetWorld& world, InstanceAddress id,
                   const ControlInstanceEvent& event) {
+  constexpr Milliseconds kDiskRetryInterval{300};
+  bool registry_not_saved = false;
+  bool failed = false;
   for (const ControlInstanceEffect& effect :
        Reduce(world.controls.at(id), event, world.now)) {
-    if (const auto* send = std::get_if<SendMessage>(&effect)) {
-      QueueMessage(world, id, *send);
-    } else if (const auto* record = std::get_if<PersistRecord>(&effect)) {
-      world.disks[id].push_back(record->record);
-    } else if (const auto* save = std::get_if<SaveRegistry>(&effect)) {
-      world.saved[id] = save->saved;
-    } else if (const auto* answer = std::get_if<AnswerCall>(&effect)) {
-      world.answers[answer->call] = *answer;
+    registry_not_saved =
+        registry_not_saved || (std::holds_alternative<SaveRegistry>(effect) &&
+                               world.full_disks.contains(id));
+    if (!failed) {
+      failed = !Execute(world, id, effect);
+    } else if (const auto allowed = EffectAfterFailedWrite(effect)) {
+      Execute(world, id, *allowed);
     }
   }
+  if (failed) {
+    world.disk_retry_at[id] = world.now + kDiskRetryInterval;
+    Apply(world, id, ControlInstanceEvent(ControlDiskFailed{}));
+  }
+  if (registry_not_saved) {
+    Apply(world, id, ControlInstanceEvent(RegistryNotSaved{}));
+  }
+}
+
+/// Tries the disk of an instance whose write failed, if this is due.
+inline void RetryDisk(FleetWorld& world, InstanceAddress id) {
+  const auto due = world.disk_retry_at.find(id);
+  if (due == world.disk_retry_at.end() || world.now < due->second) {
+    return;
+  }
+  if (world.full_disks.contains(id)) {
+    due->second += Milliseconds(300);
+    return;
+  }
+  world.disk_retry_at.erase(due);
+  Apply(world, id,
+        ControlInstanceEvent(ControlDiskRestored{.log = world.disks.at(id)}));
 }
 
 inline void Apply(FleetWorld& world, InstanceAddress id,
@@ -90,6 +139,11 @@
   }
   world.controls.insert_or_assign(id, MakeControlInstance(config, disk));
   world.down.erase(id);
+  world.disk_retry_at.erase(id);
+  if (world.full_disks.contains(id)) {
+    world.controls.at(id).disk_failed = true;
+    world.disk_retry_at[id] = world.now + Milliseconds(300);
+  }
   Apply(world, id, ControlInstanceStarted{.saved = world.saved[id]});
 }
 
@@ -128,6 +182,9 @@
   for (Milliseconds passed{0}; passed < time; passed += kStep) {
     world.now += kStep;
     for (auto& [id, instance] : world.controls) {
+      if (!world.down.contains(id)) {
+        RetryDisk(world, id);
+      }
       if (!world.down.contains(id) && world.now >= NextDue(instance)) {
         Apply(world, id, ControlInstanceTick{});
       }
