Shell: Set a saved registry that can't be read aside

A control instance that starts with servers.saved of an older build left out all servers if one record was no UTF-8, read a file of any length into memory, and let an exception of the file system end it.

Records are parsed one at a time: those that can't be are left out, counted and logged, and the rest is used. A file that is too long or that can't be read or parsed is renamed to servers.saved.unreadable and logged.

RecordThatIsNoTextHidesNoOtherRecord, UnreadableFileIsSetAside and FileOfAnyLengthOrKindIsSetAside guard it.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -15,6 +15,7 @@
 #include "Shell/Log.h"
 #include "Shell/MetricsServer.h"
 #include "Shell/MetricsText.h"
+#include "Shell/SavedRegistry.h"
 
 /// Runs a control instance of a fleet.
 namespace filbertwall {
@@ -65,9 +66,6 @@
 
  private:
   bool OpenPorts();
-  /// Reads the saved registry. Returns an empty one if the file is missing or
-  /// unreadable.
-  wire::SavedRegistry LoadRegistry() const;
   void ConnectSignals();
   /// Opens the control log and returns its records. An empty log gets an
   /// initial record. Logs the error and returns nothing when the disk fails.
@@ -188,7 +186,8 @@
     this->next_disk_retry_at = FleetNow() + kDiskRetryInterval;
     this->instance.disk_failed = true;
   }
-  this->Handle(ControlInstanceStarted{.saved = this->LoadRegistry()});
+  this->Handle(ControlInstanceStarted{
+      .saved = LoadSavedRegistry(this->settings.data_folder + kRegistryName)});
   this->loop.Run();
   return RunError::kNone;
 }
@@ -348,22 +347,6 @@
   }
 }
 
-wire::SavedRegistry ControlRuntime::LoadRegistry() const {
-  wire::SavedRegistry saved;
-  const std::string path = this->settings.data_folder + kRegistryName;
-  if (!std::filesystem::exists(path)) {
-    return saved;
-  }
-  const auto bytes = LoadFile(path);
-  if (!bytes || !saved.ParseFromString(bytes.value())) {
-    WriteLog({.id = EventId::kRegistryNotSaved,
-              .severity = Severity::kWarning,
-              .text = path + " can't be read or parsed"});
-    saved.Clear();
-  }
-  return saved;
-}
-
 void ControlRuntime::ReloadSettings() {
   const auto reloaded = this->file.Reload();
   if (!reloaded) {
