Shell: Take part in agreement only once the disk accepts a write

After a failed write the control log was opened again every 0.3 s. That only truncates and syncs, which works on a full disk too. So the instance took part, voted and acknowledged heartbeats, and failed at its next write, again and again; a process that was started on a full disk did the same. It was never silent, so no standby took its place. A sync that succeeds after a failed one doesn't say that the data are there either.

At each start and after each failure the log is replaced by one record in a new file, and the instance takes part only once that is synced.

The output of the processes goes through a pipe in these tests and in the soak, since the limit on the size of files cut it off as well.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -23,6 +23,8 @@
 
 constexpr Milliseconds kSettingsCheckInterval{2000};
 constexpr Milliseconds kDiskRetryInterval{300};
+/// A log that can't be read stays so until the folder is emptied.
+constexpr Milliseconds kUnreadableLogRetryInterval{5000};
 constexpr Milliseconds kStopDelay{300};
 constexpr char kRegistryName[] = "/servers.saved";
 
@@ -67,9 +69,12 @@
  private:
   bool OpenPorts();
   void ConnectSignals();
-  /// Opens the control log and returns its records. An empty log gets an
-  /// initial record. Logs the error and returns nothing when the disk fails.
-  std::optional<std::vector<wire::DurableRecord>> OpenStore();
+  /// Opens the control log and returns its whole content as one record, which
+  /// is the initial one if the log is empty. The log is replaced by this
+  /// record, so an instance takes part only once its disk accepts writes, and a
+  /// record whose sync failed earlier is synced. Logs the error and returns
+  /// nothing when the disk fails.
+  std::optional<wire::DurableRecord> OpenStore();
   void Handle(const ControlInstanceEvent& event);
   void HandleCall(std::uint64_t id, const HttpRequest& request);
   void HandleTimer();
@@ -94,19 +99,24 @@
   TimePoint next_disk_retry_at = TimePoint::max();
   TimePoint stop_at = TimePoint::max();
   bool disk_failed = false;
+  std::string disk_failure;  ///< As last logged; empty while the disk works.
   bool registry_not_saved = false;
 };
 
-std::optional<std::vector<wire::DurableRecord>> ControlRuntime::OpenStore() {
+std::optional<wire::DurableRecord> ControlRuntime::OpenStore() {
   const std::string& folder = this->settings.data_folder;
   this->store = std::make_unique<ControlStore>();
   std::error_code error;
   std::filesystem::create_directories(folder, error);
-  auto contents = this->store->Open(folder);
+  Replica stored;
+  std::size_t count = 0;
+  const auto contents =
+      this->store->Open(folder, [&](wire::DurableRecord&& record) {
+        Restore(stored, record);
+        count += 1;
+      });
   if (!contents) {
-    WriteLog({.id = EventId::kSyncFailed,
-              .severity = Severity::kError,
-              .text = contents.error().detail});
+    this->HandleDiskFailure(contents.error());
     return std::nullopt;
   }
   if (contents.value().tail_truncated) {
@@ -114,21 +124,16 @@
               .severity = Severity::kWarning,
               .text = "dropped an incomplete last record of the control log"});
   }
-  std::vector<wire::DurableRecord> records =
-      std::move(contents.value().records);
-  if (records.empty()) {
-    const wire::DurableRecord first =
-        InitialRecord(this->instance.config, this->settings.fleet.first_start);
-    const auto appended = this->store->Append(first);
-    if (!appended) {
-      WriteLog({.id = EventId::kSyncFailed,
-                .severity = Severity::kError,
-                .text = appended.error().detail});
-      return std::nullopt;
-    }
-    records.push_back(first);
+  wire::DurableRecord record =
+      count > 0 ? SnapshotRecord(stored)
+                : InitialRecord(this->instance.config,
+                                this->settings.fleet.first_start);
+  const auto replaced = this->store->Replace(record);
+  if (!replaced) {
+    this->HandleDiskFailure(replaced.error());
+    return std::nullopt;
   }
-  return records;
+  return record;
 }
 
 bool ControlRuntime::OpenPorts() {
@@ -171,9 +176,10 @@
   const FleetConfig config =
       MakeFleetConfig(this->settings, RandomNumber() | 1U);
   this->instance.config = config;
-  const auto log = this->OpenStore();
-  this->instance = MakeControlInstance(
-      config, log.value_or(std::vector<wire::DurableRecord>()));
+  const auto stored = this->OpenStore();
+  this->instance =
+      MakeControlInstance(config, stored ? std::vector{*stored}
+                                         : std::vector<wire::DurableRecord>());
   if (!this->OpenPorts()) {
     return RunError::kNetwork;
   }
@@ -181,11 +187,7 @@
   this->metrics.Start({.ip = this->settings.announce_address.ip,
                        .port = this->settings.fleet.metrics_port});
   this->next_settings_check_at = FleetNow() + kSettingsCheckInterval;
-  if (!log) {
-    this->disk_failed = true;
-    this->next_disk_retry_at = FleetNow() + kDiskRetryInterval;
-    this->instance.disk_failed = true;
-  }
+  this->instance.disk_failed = this->disk_failed;
   this->Handle(ControlInstanceStarted{
       .saved = LoadSavedRegistry(this->settings.data_folder + kRegistryName)});
   this->loop.Run();
@@ -226,14 +228,13 @@
     return;
   }
   if (now >= this->next_disk_retry_at) {
-    this->next_disk_retry_at = now + kDiskRetryInterval;
-    auto log = this->OpenStore();
-    if (log) {
+    if (auto stored = this->OpenStore()) {
       this->disk_failed = false;
+      this->disk_failure.clear();
       this->next_disk_retry_at = TimePoint::max();
       WriteLog({.id = EventId::kDiskRestored,
-                .text = "records=" + std::to_string(log->size())});
-      this->Handle(ControlDiskRestored{.log = std::move(*log)});
+                .text = "seq=" + std::to_string(stored->state().seq())});
+      this->Handle(ControlDiskRestored{.log = {std::move(*stored)}});
     }
   }
   if (now >= this->next_settings_check_at) {
@@ -244,11 +245,18 @@
 }
 
 void ControlRuntime::HandleDiskFailure(const StoreFailure& failure) {
-  WriteLog({.id = EventId::kSyncFailed,
-            .severity = Severity::kError,
-            .text = failure.detail});
+  const bool unreadable = failure.error == StoreError::kCorrupt ||
+                          failure.error == StoreError::kTooLarge;
+  if (failure.detail != this->disk_failure) {
+    WriteLog({.id = unreadable ? EventId::kLogCorrupt : EventId::kSyncFailed,
+              .severity = Severity::kError,
+              .text = failure.detail});
+    this->disk_failure = failure.detail;
+  }
   this->disk_failed = true;
-  this->next_disk_retry_at = FleetNow() + kDiskRetryInterval;
+  this->next_disk_retry_at =
+      FleetNow() +
+      (unreadable ? kUnreadableLogRetryInterval : kDiskRetryInterval);
 }
 
 void ControlRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
--- a/Tests/Soak/fleet_processes.py
+++ b/Tests/Soak/fleet_processes.py
@@ -22,6 +22,7 @@
 READY_PORT = 8167
 PACKET_PORT = 8172
 METRICS_PORT = 9464
+FULL_DISK_BYTES = 16  # the size of files on a full disk
 
 
 class DatagramProxy(threading.Thread):
@@ -86,6 +87,7 @@
         self.settings = fleet.folder / (host + ".ini")
         self.process = None
         self.boots = 0
+        self.full = False  # Whether the next start finds a full disk.
         self.impaired_until = 0.0
 
     def write_settings(self, first_start):
@@ -114,12 +116,28 @@
             return  # Another fault that ended earlier has started it.
         self.write_settings(first_start)
         self.boots += 1
-        with open(self.fleet.folder / (self.host + ".log"), "ab") as log:
+        full = self.full
+
+        def prepare():
             # With SIGXFSZ ignored, a write beyond the limit fails without killing the process.
-            self.process = subprocess.Popen(
-                [BINARY, "fleet", str(self.settings)], stdout=log, stderr=log,
-                preexec_fn=lambda: signal.signal(signal.SIGXFSZ,
-                                                 signal.SIG_IGN))
+            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+            if full:
+                resource.setrlimit(resource.RLIMIT_FSIZE,
+                                   (FULL_DISK_BYTES, resource.RLIM_INFINITY))
+
+        self.process = subprocess.Popen(
+            [BINARY, "fleet", str(self.settings)], stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT, preexec_fn=prepare)
+        threading.Thread(target=self.write_log, args=(self.process.stdout,),
+                         daemon=True).start()
+
+    def write_log(self, output):
+        """Writes what the process says to a file, to which its limit on the
+        size of files doesn't apply."""
+        with output, open(self.fleet.folder / (self.host + ".log"),
+                          "ab", buffering=0) as log:
+            for line in output:
+                log.write(line)
 
     def alive(self):
         return self.process is not None and self.process.poll() is None
@@ -140,10 +158,16 @@
         shutil.rmtree(self.folder)
         self.folder.mkdir()
 
-    def limit_files(self, full):
-        """Simulates a full disk by limiting the file size to 16 bytes."""
+    def log_text(self):
+        path = self.fleet.folder / (self.host + ".log")
+        return path.read_text(errors="replace") if path.exists() else ""
+
+    def limit_files(self, full, size=FULL_DISK_BYTES):
+        """Simulates a full disk, also for later starts, by limiting the size of
+        files."""
+        self.full = full
         if self.alive():
-            size = 16 if full else resource.RLIM_INFINITY
+            size = size if full else resource.RLIM_INFINITY
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE,
                              (size, resource.RLIM_INFINITY))
 
