--- a/Tests/Soak/fleet_soak.py
+++ b/Tests/Soak/fleet_soak.py
@@ -1,15 +1,17 @@
 """A soak of a fleet of real processes under faults from outside.
 
-Usage: fleet_soak.py SEED [SECONDS [CONTROLS ENTRIES]]
+Usage: fleet_soak.py SEED [SECONDS [CONTROLS ENTRIES [disks]]]
 
 Faults come in series and overlap: processes are killed, frozen, stopped and
 restarted by signals; links between instances are cut, one way or both, lose or
 delay messages; calls are reset or held back by a relay; disks are full or
 wiped; servers crash, leave and are replaced, also at the address of another
-service. Ends with 1 and prints every broken promise, and keeps the logs, when
+service. With `disks`, the faults of control instances are series of full disks,
+one after another, with restarts meanwhile. Ends with 1 and prints every broken promise, and keeps the logs, when
 one was broken. Not brought about: slow disks, and clocks, since the fleet uses
 only the time since the machine's start.
 """
+import functools
 import pathlib
 import random
 import shutil
@@ -27,12 +29,16 @@
 
 START_S = 5.0
 SETTLE_S = 9.0
+RECOVERY_S = 4.0   # CatchUpS of the platform's deployments
+ACK_LIMIT_S = 3.0  # ConfigApplyMs of the platform's deployments
 
 
 class Soak:
-    def __init__(self, seed, seconds, controls, entries):
+    def __init__(self, seed, seconds, controls, entries, only_disks):
         self.random = random.Random(seed)
         self.seconds = seconds
+        self.fault_of_controls = (self.fill_disks_in_series if only_disks
+                                  else self.fault_of_control)
         self.folder = tempfile.mkdtemp(prefix="fleet-soak-")
         network = "127.%d" % (20 + seed % 200)
         self.fleet = fleet_processes.Fleet(network, self.folder, seed, controls,
@@ -48,6 +54,7 @@
         self.next_server = seed % 1000 * 65536 + 1
         self.actions = []  # (when, what)
         self.control_busy_until = 0.0
+        self.series_end = 0.0  # of disks that are full one after another
         self.events = []
 
     def add_server(self, host_number, service):
@@ -95,6 +102,34 @@
         process.limit_files(True)
         self.later(seconds, lambda: process.limit_files(False))
 
+    def fill_disks_in_series(self):
+        """Each disk is full once, one after another; some processes are killed
+        or stopped meanwhile, or as there is room again."""
+        if time.monotonic() < self.control_busy_until:
+            return
+        begin = 0.0
+        for process in self.random.sample(self.fleet.controls,
+                                          len(self.fleet.controls)):
+            seconds = self.random.uniform(0.3, 6.0)
+            restart_at = self.random.choice([None, seconds / 2, seconds])
+            number = self.random.choice([signal.SIGKILL, signal.SIGTERM])
+            self.note("disk of %s is full from %.1f s on for %.1f s, restart %s"
+                      % (process.host, begin, seconds, restart_at))
+            self.later(begin, functools.partial(self.fill_disk, process,
+                                                seconds))
+            if restart_at is not None:
+                self.later(begin + restart_at, functools.partial(
+                    self.restart_by, process, number))
+            begin += seconds + self.random.choice([0.0, 0.3, 4.0])
+        self.control_busy_until = time.monotonic() + begin + 4.0
+        self.series_end = time.monotonic() + begin
+
+    def restart_by(self, process, number):
+        self.impair([process], 2.0)
+        process.signal(number)
+        process.process.wait(5)
+        process.start()
+
     def cut(self, process, seconds, share, one_way):
         everyone = [other.host for other in self.fleet.processes()]
         self.impair([process], seconds + 0.5)
@@ -214,7 +249,7 @@
         self.start()
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
-            self.random.choice([self.fault_of_control, self.fault_of_entry,
+            self.random.choice([self.fault_of_controls, self.fault_of_entry,
                                 self.fault_of_server])()
             pause = time.monotonic() + self.random.uniform(0.1, 1.2)
             while time.monotonic() < pause:
@@ -224,10 +259,14 @@
 
     def settle(self):
         """Lets every fault end; then all must be as it should be."""
-        end = time.monotonic() + SETTLE_S
+        end = max(time.monotonic() + SETTLE_S,
+                  self.series_end + RECOVERY_S + ACK_LIMIT_S)
         while time.monotonic() < end or self.actions:
             self.step()
             time.sleep(0.02)
+        last = self.operator.acked[-1][0] if self.operator.acked else 0.0
+        if time.monotonic() - last > ACK_LIMIT_S:
+            self.traffic.violate("at the end no version is accepted")
         self.operator.running = False
         self.operator.join(10)
         time.sleep(1.0)
@@ -262,7 +301,7 @@
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
     controls = int(sys.argv[3]) if len(sys.argv) > 3 else 4
     entries = int(sys.argv[4]) if len(sys.argv) > 4 else 4
-    soak = Soak(seed, seconds, controls, entries)
+    soak = Soak(seed, seconds, controls, entries, sys.argv[5:] == ["disks"])
     try:
         soak.run()
     finally:
