--- a/Tests/Fleet/FullDiskTest.cc
+++ b/Tests/Fleet/FullDiskTest.cc
@@ -163,13 +163,13 @@
 TEST_GROUP(FullDisk){};
 
 TEST(FullDisk, DisksFullOneAfterAnotherStopNoLaterChange) {
-  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     STRCMP_EQUAL("", PlayFullDisks(seed, false).c_str());
   }
 }
 
 TEST(FullDisk, DisksFullBesideRestartsStopNoLaterChange) {
-  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 15; ++seed) {
     STRCMP_EQUAL("", PlayFullDisks(seed, true).c_str());
   }
 }
