--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -21,6 +21,8 @@
 /// Maximum number of instances that are told of changes.
 inline constexpr std::size_t kMaxSubscribers = 4096;
 
+inline constexpr char kDiskFailedReason[] = "writes to the disk fail";
+
 /// The event being handled: state, time and the effects so far.
 struct ControlContext {
   ControlInstance& instance;
