Soak, fuzzing: Send odd input at every entrance

In the soak another writer sends odd reports, configs, requests, packets and messages all the while, and a process that ends without having been asked to is a violation.

--- a/Tests/Soak/fleet_processes.py
+++ b/Tests/Soak/fleet_processes.py
@@ -88,6 +88,7 @@
         self.process = None
         self.boots = 0
         self.full = False  # Whether the next start finds a full disk.
+        self.stopping = False
         self.impaired_until = 0.0
 
     def write_settings(self, first_start):
@@ -116,11 +117,10 @@
             return  # Another fault that ended earlier has started it.
         self.write_settings(first_start)
         self.boots += 1
+        self.stopping = False
         full = self.full
 
         def prepare():
-            # With SIGXFSZ ignored, a write beyond the limit fails without killing the process.
-            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
             if full:
                 resource.setrlimit(resource.RLIMIT_FSIZE,
                                    (FULL_DISK_BYTES, resource.RLIM_INFINITY))
@@ -144,8 +144,16 @@
 
     def signal(self, number):
         if self.alive():
+            self.stopping = self.stopping or number == signal.SIGTERM
             self.process.send_signal(number)
 
+    def own_end(self):
+        """The status of a process that ended without having been asked to,
+        else None."""
+        if self.process is None or self.stopping:
+            return None
+        return self.process.poll()
+
     def kill(self):
         if self.process is not None:
             if self.alive():
--- a/Tests/Soak/fleet_soak.py
+++ b/Tests/Soak/fleet_soak.py
@@ -6,8 +6,10 @@
 restarted by signals; links between instances are cut, one way or both, lose or
 delay messages; calls are reset or held back by a relay; disks are full or
 wiped; servers crash, leave and are replaced, also at the address of another
-service. With `disks`, the faults of control instances are series of full disks,
-one after another, with restarts meanwhile. Ends with 1 and prints every broken promise, and keeps the logs, when
+service; another writer sends odd reports, configs, requests, packets and
+messages all the while. With `disks`, the faults of control instances are series
+of full disks, one after another, with restarts meanwhile. Ends with 1 and prints
+every broken promise, and keeps the logs, when
 one was broken. Not brought about: slow disks, and clocks, since the fleet uses
 only the time since the machine's start.
 """
@@ -25,6 +27,7 @@
                        "System"))
 import fleet_processes  # noqa: E402
 import fleet_traffic  # noqa: E402
+import odd_writer  # noqa: E402
 import relay  # noqa: E402
 
 START_S = 5.0
@@ -51,6 +54,8 @@
         self.traffic = fleet_traffic.Traffic(self.fleet, network + ".4.1",
                                              seed)
         self.operator = fleet_traffic.Operator(self.traffic, seed)
+        self.odd_writer = odd_writer.OddWriter(self.fleet, network + ".4.2",
+                                               seed)
         self.next_server = seed % 1000 * 65536 + 1
         self.actions = []  # (when, what)
         self.control_busy_until = 0.0
@@ -232,6 +237,17 @@
         self.actions = [item for item in self.actions if item not in due]
         for _, action in due:
             action()
+        self.check_processes()
+        self.odd_writer.server_ids = [s.id for s in self.traffic.servers]
+
+    def check_processes(self):
+        for process in self.fleet.processes():
+            status = process.own_end()
+            if status is not None:
+                self.traffic.violate("%s ended by itself with status %d" %
+                                     (process.host, status))
+                process.kill()
+                process.start()
 
     def start(self):
         for process in self.fleet.processes():
@@ -244,6 +260,7 @@
         self.operator.start()
         time.sleep(START_S)
         self.traffic.opening = True
+        self.odd_writer.start()
 
     def run(self):
         self.start()
@@ -267,6 +284,8 @@
         last = self.operator.acked[-1][0] if self.operator.acked else 0.0
         if time.monotonic() - last > ACK_LIMIT_S:
             self.traffic.violate("at the end no version is accepted")
+        self.odd_writer.running = False
+        self.odd_writer.join(10)
         self.operator.running = False
         self.operator.join(10)
         time.sleep(1.0)
@@ -289,6 +308,7 @@
             self.traffic.violate("at the end nothing is answered")
 
     def finish(self):
+        self.odd_writer.running = False
         self.traffic.running = False
         self.operator.running = False
         self.traffic.join(2)
@@ -311,6 +331,7 @@
           "their server, %d versions, %d violations" % (
               seed, traffic.answered, traffic.unopened, traffic.refused,
               traffic.lost, len(soak.operator.acked), len(traffic.violations)))
+    print("odd input:", soak.odd_writer.sent)
     if not traffic.violations:
         shutil.rmtree(soak.folder)
         return 0
