--- a/Tests/Distribution/RouteHistoryTest.cc
+++ b/Tests/Distribution/RouteHistoryTest.cc
@@ -55,3 +55,13 @@
   CHECK(this->history.versions.size() < 20);
   CHECK_EQUAL(0, RoutesSince(this->history, 1).base_version());
 }
+
+TEST(RouteHistory, ServiceThatIsNoTextIsNotSentAndHidesNoRoute) {
+  Rules rules = MakeRules(3, 1, 10, 900);
+  rules.addresses.begin()->second.shares[0].service = "\xff\xfe";
+  AddVersion(this->history, rules);
+  const wire::RoutesUpdate update = RoutesSince(this->history, 0);
+  LONGS_EQUAL(10, update.set_size());
+  STRCMP_EQUAL("", update.set(0).shares(0).service().c_str());
+  STRCMP_EQUAL("proof", update.set(1).shares(0).service().c_str());
+}
