--- a/Tests/Fleet/FullDiskTest.cc
+++ b/Tests/Fleet/FullDiskTest.cc
@@ -193,7 +193,8 @@
   for (auto& [id, disk] : world.disks) {
     wire::DurableRecord record = SnapshotRecord(world.controls.at(id).replica);
     record.mutable_state()->mutable_rules()->set_version(7);
-    record.mutable_state()->mutable_rules()->set_text("version 7\nodd odd\n");
+    record.mutable_state()->mutable_rules()->set_text(
+        "version 7\nodd \xff\xfe\n");
     disk = {record};
   }
   for (InstanceAddress id = 1; id <= 3; ++id) {
