Tests: Send datagrams of any size to an entry instance

Sizes from 0 to 65,507 bytes, beyond the receive buffer too, with lengths in the header that match or don't.

--- a/Tests/System/start_test.py
+++ b/Tests/System/start_test.py
@@ -181,6 +181,26 @@
         time.sleep(0.002)
 
 
+def datagrams_of_any_size_end_no_process():
+    head = struct.Struct("<IIIIIHHHBBI")
+    with run() as one:
+        one.settings.write_text(settings(1))
+        one.start()
+        wait_until(lambda: answers(1), START_LIMIT, "calls are answered")
+        caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for size in (0, 1, 31, 32, 33, 1232, 1233, 1500, 2047, 2048, 2049,
+                     9216, 65507):
+            for length in {max(0, size - 32), 0, 1200, 2016, 65535}:
+                for flags in (0, 1, 2, 4, 8, 15, 64, 255):
+                    data = head.pack(1, 0, 0, 0x7F000007, 0xC6120001, 7, 443,
+                                     length, flags, 0, 7) + b"x" * size
+                    caller.sendto(data[:size], (host(1), PACKET_PORT))
+                    caller.sendto(b"\xff" * size, (host(1), PACKET_PORT))
+        one.check_runs()
+        assert answers(1)
+        one.stop()
+
+
 def closed_pipe(_):
     reader, writer = os.pipe()
     os.close(reader)
