--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -189,6 +189,20 @@
   CHECK_FALSE(IsRejected(document));
 }
 
+TEST(ConfigDocument, ConfigThatIsReadBackIsAcceptedAgain) {
+  const Json document = {{"Version", 3},
+                         {"Routes",
+                          {{{"Hostname", "198.18.0.1"},
+                            {"PathPrefix", "/443/"},
+                            {"TimeoutMs", 1000},
+                            {"Service", "alpha"}}}},
+                         {"Services", {{{"Name", "alpha"}}}}};
+  const auto file = ReadDocument(document.dump());
+  const auto again = ReadDocument(WriteDocument(file.value()));
+  CHECK(again.has_value());
+  CHECK_EQUAL(3, again.value().version());
+}
+
 TEST(ConfigDocument, RouteThatNamesAServiceBesideItsSharesIsRejected) {
   Json document = MakeDocument();
   document["Routes"][1]["Service"] = "nobody";
