--- a/Source/filbertwallConfig.cmake
+++ b/Source/filbertwallConfig.cmake
@@ -1,6 +1,7 @@
 include(CMakeFindDependencyMacro)
 find_dependency(Protobuf)
 find_dependency(PkgConfig)
+find_dependency(nlohmann_json)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
 include(${CMAKE_CURRENT_LIST_DIR}/filbertwallTargets.cmake)
--- a/Tests/Shell/SavedRegistryTest.cc
+++ b/Tests/Shell/SavedRegistryTest.cc
@@ -50,9 +50,10 @@
   CHECK(ParseSavedRegistry("")->saved.servers().empty());
 }
 
-TEST(SavedRegistry, RecordThatIsNoTextHidesNoOtherRecord) {
+TEST(SavedRegistry, RecordThatCannotBeParsedHidesNoOtherRecord) {
   std::string bytes = MakeRegistry().SerializeAsString();
-  bytes[bytes.find("i-02") + 2] = '\xff';
+  // The length of the id is now beyond the end of its record.
+  bytes[bytes.find("i-02") - 1] = '\x7f';
   const auto parsed = ParseSavedRegistry(bytes);
   LONGS_EQUAL(1, parsed->unreadable_servers);
   LONGS_EQUAL(2, parsed->saved.servers_size());
--- a/Tests/System/disks_test.py
+++ b/Tests/System/disks_test.py
@@ -37,6 +37,7 @@
         self.fleet = fleet_processes.Fleet(network, folder, number, controls, 1)
         self.controls, self.entry = self.fleet.controls, self.fleet.entries[0]
         self.version = 0
+        self.descriptors = None
 
     def submit(self, host=None):
         """Submits until a version is accepted: at the start of five instances
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -213,7 +213,7 @@
 
 
 def resident_bytes(process):
-    with open("/proc/%d/status" % process.pid, encoding="ascii") as status:
+    with open("/proc/%d/status" % process.process.pid, encoding="ascii") as status:
         return 1024 * int(re.search(r"VmRSS:\s+(\d+)", status.read()).group(1))
 
 
@@ -247,7 +247,7 @@
             flood(small.entry.host, number, FLOOD_BURST)
             number += FLOOD_BURST
         flood(small.entry.host, number, FLOOD_BURST)
-        used = resident_bytes(small.entry.process)
+        used = resident_bytes(small.entry)
         assert used < MEMORY_LIMIT, used
         small.check()
 
@@ -290,11 +290,6 @@
     return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
 
 
-def resident_bytes(process):
-    fields = pathlib.Path("/proc/%d/statm" % process.process.pid).read_text()
-    return int(fields.split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 def odd_http_ends_no_process():
     post = b"POST /api/Config.Replace HTTP/1.1\r\nHost: x\r\n"
     chunked = post + b"Transfer-Encoding: chunked\r\n\r\n"
