Platform: Refuse what receivers could not use or send on

An acknowledged config with a service name of 201 bytes and more, weights above 2^32 in sum or the address 0.0.0.0 was set aside by each receiver, which then refused its flows.

--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -19,11 +19,12 @@
 using AddressList = google::protobuf::RepeatedField<std::uint32_t>;
 
 /// Returns the error of a name, or nothing if it can be used.
-std::optional<InputError> CheckName(std::string_view name) {
+std::optional<InputError> CheckName(std::string_view name,
+                                    std::size_t max_bytes = kMaxNameBytes) {
   if (name.empty()) {
     return InputError::kMissingField;
   }
-  if (name.size() > kMaxNameBytes) {
+  if (name.size() > max_bytes) {
     return InputError::kTooLarge;
   }
   return IsUtf8(name) ? std::nullopt : std::optional(InputError::kNotUtf8);
@@ -166,7 +167,7 @@
   }
   std::uint64_t total_weight = 0;
   for (const wire::RouteShare& share : route.shares()) {
-    if (const auto error = CheckName(share.service())) {
+    if (const auto error = CheckName(share.service(), kMaxServiceBytes)) {
       return error;
     }
     total_weight += share.weight();
@@ -174,8 +175,8 @@
   if (route.shares().empty()) {
     return InputError::kMissingField;
   }
-  const bool usable = total_weight > 0 && total_weight <= UINT32_MAX;
-  return usable ? std::nullopt : std::optional(InputError::kOutOfRange);
+  return total_weight > 0 ? std::nullopt
+                          : std::optional(InputError::kOutOfRange);
 }
 
 void CheckServers(
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -203,6 +203,22 @@
   CHECK_EQUAL(3, again.value().version());
 }
 
+TEST(ConfigDocument, WhatReceiversCouldNotUseIsRejected) {
+  Json document = MakeDocument();
+  document["Routes"][0]["Hostname"] = "0.0.0.0";
+  CHECK(IsRejected(document));
+  document = MakeDocument();
+  document["Services"].push_back({{"Name", std::string(601, 'x')}});
+  CHECK(IsRejected(document));
+  document = MakeDocument();
+  for (int i = 0; i < 20; ++i) {
+    document["Services"].push_back(
+        {{"Name", "s" + std::to_string(i)},
+         {"HealthCheckPath", std::string(120000, '!')}});
+  }
+  CHECK(IsRejected(document));
+}
+
 TEST(ConfigDocument, RouteThatNamesAServiceBesideItsSharesIsRejected) {
   Json document = MakeDocument();
   document["Routes"][1]["Service"] = "nobody";
