Fleet: Let no other writer's record refuse a server's own reports

A report is now compared with the server's last one at the same instance only, if that is recent. A service that no rule names replaces none that is named. A draining report that isn't applied, since the kept record takes precedence and says ready, was answered with 200, and flows went on; it is answered with 503.

--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -49,6 +49,10 @@
     return;
   }
   AddVersion(instance.history, parsed.rules);
+  instance.named_services.clear();
+  for (const auto& [name, service] : parsed.rules.services) {
+    instance.named_services.insert(name);
+  }
   Log(context, EventId::kRulesInForce,
       "version=" + std::to_string(file.version()) +
           " seq=" + std::to_string(instance.replica.committed.seq()));
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -99,6 +99,8 @@
   FleetConfig config;
   Replica replica;
   Registry registry;
+  /// Names of the services in the newest committed rules.
+  std::set<std::string> named_services;
   RouteHistory history;
   PackedContents packed_contents;
   FollowerQueue follower_queue;
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -11,6 +11,36 @@
 /// instance has confirmed the record, or fails after this time.
 constexpr Milliseconds kConfirmTimeout{500};
 
+/// Returns how a report contradicts the server's own last report here, if that
+/// is recent. A record from another instance doesn't count: it may be another
+/// writer's, and the server would be refused for as long as it is kept.
+std::string FindContradictionWithLast(const ControlContext& context,
+                                      const Server& server,
+                                      const wire::ServerRecord& record) {
+  const Milliseconds recent =
+      context.instance.config.announce_interval * kIntervalsUntilSettled;
+  const bool comparable = !server.reported.id().empty() &&
+                          context.now - server.reported_at <= recent;
+  return comparable ? FindContradiction(server.reported, record) : "";
+}
+
+/// Returns why a report can't replace the record of a known server; empty when
+/// it can. A service that no rule names can't replace one that is named.
+std::string FindConflict(const ControlContext& context,
+                         const wire::ServerRecord& record) {
+  const ControlInstance& instance = context.instance;
+  const auto known = instance.registry.servers.find(record.id());
+  if (known == instance.registry.servers.end()) {
+    return "";
+  }
+  const Server& server = known->second;
+  const bool loses_service =
+      instance.named_services.contains(server.record.service()) &&
+      !instance.named_services.contains(record.service());
+  return loses_service ? "service: expected one that the rules name"
+                       : FindContradictionWithLast(context, server, record);
+}
+
 /// Answers a report that is invalid, or that contradicts others of the same
 /// server. Returns whether it did.
 bool RefuseReport(ControlContext& context, const ServerReported& event) {
@@ -18,7 +48,7 @@
   std::string finding = CheckServerRecord(event.record);
   if (finding.empty() && event.record.phase() != wire::SERVER_GONE) {
     error = InputError::kContradicts;
-    finding = FindContradiction(context.instance.registry, event.record);
+    finding = FindConflict(context, event.record);
   }
   if (finding.empty()) {
     return false;
@@ -108,6 +138,17 @@
   Server& server = instance.registry.servers.at(record.id());
   if (record.incarnation() >= server.record.incarnation()) {
     server.reported_at = context.now;
+    if (event.record.phase() != wire::SERVER_GONE) {
+      server.reported = event.record;
+    }
+  }
+  if (record.phase() == wire::SERVER_DRAINING &&
+      server.record.phase() == wire::SERVER_READY) {
+    // A record that takes precedence says that the server is ready.
+    Answer(context, AnswerCall{.call = event.call,
+                               .verdict = CallVerdict::kUnavailable,
+                               .reason = "a later record says ready"});
+    return;
   }
   if (record.phase() == wire::SERVER_READY) {
     Answer(context, AnswerCall{.call = event.call,
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 200;
-/// A service is named by a word of the rules, with three bytes for one.
-constexpr std::size_t kMaxServiceBytes = 3 * kMaxNameBytes;
 
 /// Returns whether a text in UTF-8 has a control character of ASCII or Latin-1.
 bool HasControlCharacters(std::string_view text) {
@@ -133,25 +131,18 @@
   return "";
 }
 
-std::string FindContradiction(const Registry& registry,
+std::string FindContradiction(const wire::ServerRecord& known,
                               const wire::ServerRecord& record) {
-  const auto known = registry.servers.find(record.id());
-  if (known == registry.servers.end()) {
-    return "";
-  }
-  const wire::ServerRecord& other = known->second.record;
-  const bool comparable =
-      other.incarnation() == record.incarnation() && other.ip() != 0;
-  if (!comparable) {
+  if (known.incarnation() != record.incarnation()) {
     return "";
   }
-  if (other.service() != record.service()) {
+  if (known.service() != record.service()) {
     return "service: expected that of the server's other reports";
   }
-  if (other.ip() != record.ip() || other.port() != record.port()) {
+  if (known.ip() != record.ip() || known.port() != record.port()) {
     return "address: expected that of the server's other reports";
   }
-  if (other.data_centre() != record.data_centre()) {
+  if (known.data_centre() != record.data_centre()) {
     return "data centre: expected that of the server's other reports";
   }
   return "";
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -22,6 +22,9 @@
 namespace filbertwall {
 
 /// Limits on what a record holds.
+/// A service is named by a word of the rules, which takes up to three bytes for
+/// each byte of the name.
+inline constexpr std::size_t kMaxServiceBytes = 600;
 inline constexpr std::uint32_t kMaxServerSlots = 100000;
 inline constexpr Milliseconds kMaxWarmup{std::chrono::hours(24)};
 inline constexpr std::uint64_t kMaxSequence = INT64_MAX;
@@ -34,6 +37,8 @@
   TimePoint updated_at;   ///< When the record was last replaced.
   TimePoint heard_at;     ///< Last report to any control instance.
   TimePoint reported_at;  ///< Last report to this control instance.
+  /// The report of `reported_at`. It names no id if there was none.
+  wire::ServerRecord reported;
   /// Number of the registry change that last modified the record.
   std::uint64_t change = 0;
 };
@@ -71,11 +76,11 @@
 /// record of a server that is gone needs an id only.
 std::string CheckServerRecord(const wire::ServerRecord& record);
 
-/// Returns how a record contradicts the known one of the same incarnation;
-/// empty when it does not. Within an incarnation, the service, address and data
-/// centre of a server do not change. Precondition: `record` is valid and not
-/// `SERVER_GONE`.
-std::string FindContradiction(const Registry& registry,
+/// Returns how a report contradicts another one of the same server and
+/// incarnation; empty when it does not. Within an incarnation, the service,
+/// address and data centre of a server do not change. Precondition: both are
+/// valid and not `SERVER_GONE`.
+std::string FindContradiction(const wire::ServerRecord& known,
                               const wire::ServerRecord& record);
 
 /// Merges a record. Returns whether a field has changed that other instances
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -305,12 +305,71 @@
                instance.registry.servers.at("a1").record.service().c_str());
   CHECK_EQUAL(1,
               instance.counters.refused_reports.Get(InputError::kContradicts));
+  other.record.set_service("proof");
+  other.record.set_ip(77);
   other.record.set_incarnation(2);
   other.call = 903;
   Apply(this->world, 1, ControlInstanceEvent(other));
   CHECK(CallVerdict::kAccepted == this->world.answers.at(903).verdict);
 }
 
+TEST(Fleet, ReportOfAServiceThatNoRuleNamesReplacesNoServer) {
+  Report(this->world, 1, "a1", 1);
+  ServerReported other{.call = 902};
+  other.record = this->world.controls.at(1).registry.servers.at("a1").record;
+  other.record.set_service("another");
+  other.record.set_incarnation(99);
+  Apply(this->world, 1, ControlInstanceEvent(other));
+  CHECK(CallVerdict::kRefused == this->world.answers.at(902).verdict);
+  STRCMP_EQUAL("proof", this->world.controls.at(1)
+                            .registry.servers.at("a1")
+                            .record.service()
+                            .c_str());
+}
+
+TEST(Fleet, RecordOfAnotherInstanceRefusesNoReportOfTheServerItself) {
+  Report(this->world, 1, "a1", 1);
+  ControlInstance& instance = this->world.controls.at(1);
+  Server& server = instance.registry.servers.at("a1");
+  const wire::ServerRecord own = server.record;
+  wire::ServerRecord other = own;
+  other.set_service("another");
+  other.set_sequence(own.sequence() + 1);
+  CHECK(MergeServerRecord(instance.registry, other, this->world.now));
+  ServerReported report{.call = 902, .record = own};
+  report.record.set_sequence(own.sequence() + 2);
+  Apply(this->world, 1, ControlInstanceEvent(report));
+  CHECK(CallVerdict::kAccepted == this->world.answers.at(902).verdict);
+  CHECK(own.service() == server.record.service());
+}
+
+TEST(Fleet, NothingContradictsAServerThatIsOnlyKnownToBeGone) {
+  ServerReported gone{.call = 901};
+  gone.record.set_id("a9");
+  gone.record.set_phase(wire::SERVER_GONE);
+  gone.record.set_incarnation(5);
+  Apply(this->world, 1, ControlInstanceEvent(gone));
+  Report(this->world, 1, "a1", 1);
+  ServerReported report{.call = 902};
+  report.record = this->world.controls.at(1).registry.servers.at("a1").record;
+  report.record.set_id("a9");
+  report.record.set_incarnation(5);
+  Apply(this->world, 1, ControlInstanceEvent(report));
+  CHECK(CallVerdict::kAccepted == this->world.answers.at(902).verdict);
+}
+
+TEST(Fleet, DrainingThatIsNotAppliedIsNotAcknowledged) {
+  Report(this->world, 1, "a1", 1);
+  Server& server = this->world.controls.at(1).registry.servers.at("a1");
+  server.record.set_sequence(1000);
+  ServerReported report{.call = 902, .record = server.record};
+  report.record.set_sequence(500);
+  report.record.set_phase(wire::SERVER_DRAINING);
+  Apply(this->world, 1, ControlInstanceEvent(report));
+  Run(this->world, Milliseconds(1000));
+  CHECK(CallVerdict::kUnavailable == this->world.answers.at(902).verdict);
+}
+
 TEST(Fleet, OpeningPacketsQueuedDuringAStallAreDropped) {
   EntryInstance& entry = this->world.entries.at(kFirstEntry);
   const FlowPacket opening{.key = {.caller = {.ip = 7, .port = 1},
