Placement: Let a server of a service without route hide no other

A report with another id, the address of a real server, a later start and a service that isn't named hid the real server at each entry instance for as long as the process ran. Only servers of services that a route names count now when several have one address. Placement.ServerOfAServiceWithoutRouteHidesNoOther.

--- a/Source/Forwarding/RouteTable.cc
+++ b/Source/Forwarding/RouteTable.cc
@@ -19,6 +19,20 @@
   return entry;
 }
 
+/// Tells the placement which services the routes name.
+void UpdateRoutedServices(const RouteTable& table, Placement& placement) {
+  std::vector<bool> routed(placement.usable_by_service.size(), false);
+  for (const auto& [key, entry] : table.routes) {
+    for (const ServiceShare& share : entry.shares) {
+      routed[share.service] = true;
+    }
+  }
+  if (routed != placement.routed_by_service) {
+    placement.routed_by_service = std::move(routed);
+    RefreshUsable(placement);
+  }
+}
+
 }  // namespace
 
 bool ApplyRoutes(RouteTable& table, const wire::RoutesUpdate& update,
@@ -48,6 +62,7 @@
     table.dropped[key] = update.version();
   }
   table.version = update.version();
+  UpdateRoutedServices(table, placement);
   return true;
 }
 
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -128,6 +128,25 @@
 
 }  // namespace
 
+namespace {
+
+/// Returns whether a route names the service. Before the first rules, any may.
+bool IsRouted(const Placement& placement, ServiceIndex service) {
+  return placement.routed_by_service.empty() ||
+         (service < placement.routed_by_service.size() &&
+          placement.routed_by_service[service]);
+}
+
+/// Returns whether no server in `latest`, the latest incarnation at each
+/// address, displaces this one.
+bool IsLatest(const std::map<Endpoint, std::uint64_t>& latest,
+              const PlacedServer& server) {
+  const auto found = latest.find(server.address);
+  return found == latest.end() || found->second <= server.incarnation;
+}
+
+}  // namespace
+
 std::uint64_t ParseServerNumber(std::string_view id) {
   constexpr unsigned kBitsOfDigit = 4;
   std::uint64_t number = 0;
@@ -198,6 +217,9 @@
 void RefreshUsable(Placement& placement) {
   std::map<Endpoint, std::uint64_t> latest;
   for (const PlacedServer& server : placement.servers) {
+    if (!IsRouted(placement, server.service)) {
+      continue;
+    }
     std::uint64_t& incarnation = latest[server.address];
     incarnation = std::max(incarnation, server.incarnation);
   }
@@ -208,8 +230,7 @@
   for (ServerIndex i = 0; i < placement.servers.size(); ++i) {
     const PlacedServer& server = placement.servers[i];
     const bool owns_token = placement.by_token.at(server.token) == i;
-    if (server.usable && owns_token &&
-        latest.at(server.address) == server.incarnation) {
+    if (server.usable && owns_token && IsLatest(latest, server)) {
       placement.usable_by_service[server.service].push_back(i);
       if (server.failing) {
         placement.failing_by_service[server.service].push_back(i);
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -86,6 +86,9 @@
   std::vector<std::vector<ServerIndex>> usable_by_service;
   /// The failing servers of `usable_by_service`.
   std::vector<std::vector<ServerIndex>> failing_by_service;
+  /// Whether a route names the service, by service. Empty before the first
+  /// rules.
+  std::vector<bool> routed_by_service;
   /// Moving average of flow durations by service; 0 without a measurement.
   std::vector<double> mean_duration_ms_by_service;
   /// Random numbers drawn so far; input to the next one.
@@ -105,8 +108,9 @@
                   TimePoint now);
 
 /// Recomputes which servers may be chosen. Of several servers with the same
-/// address, only the one with the latest incarnation may. Call after a series
-/// of `UpdateServer` calls.
+/// address, only the one with the latest incarnation may; a server whose
+/// service no route names displaces no other. Call after a series of
+/// `UpdateServer` calls.
 void RefreshUsable(Placement& placement);
 
 /// A new flow for which a server is to be chosen.
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -106,6 +106,15 @@
   }
 }
 
+TEST(Placement, ServerOfAServiceWithoutRouteHidesNoOther) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  this->placement.routed_by_service = {true};
+  wire::ServerRecord other = MakeRecord("b2", 1, "here", 99);
+  other.set_service("another");
+  this->Add(other);
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+}
+
 TEST(Placement, ExcludesAServerWhoseTokenIsTaken) {
   this->Add(MakeRecord("i-0100000001", 1, "here"));
   this->Add(MakeRecord("i-0200000001", 2, "here"));
