--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -38,6 +38,9 @@
   return listeners;
 }
 
+/// Assumed when the limit can't be read.
+constexpr rlim_t kUsualDescriptors = 1024;
+
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 timeval ToTimeval(Milliseconds time) {
@@ -49,7 +52,7 @@
 
 /// Returns half of the descriptors that the process may open.
 std::size_t HalfOfDescriptors() {
-  rlimit descriptors{};
+  rlimit descriptors{.rlim_cur = kUsualDescriptors};
   getrlimit(RLIMIT_NOFILE, &descriptors);
   return std::max<std::size_t>(descriptors.rlim_cur / 2, kMinConnections);
 }
