Flows: Give the key of a Geneve flow a name of its own

Flows and Forwarding each defined a struct FlowKey in one namespace and one program, of 20 and 16 bytes and with comparisons of their own, which breaks the one-definition rule: where the comparison isn't inlined, the linker keeps either. Found when the fuzzed entrances included both. FlowsTest passes.

--- a/Bench/CapacityBench.cc
+++ b/Bench/CapacityBench.cc
@@ -96,7 +96,7 @@
     Print("hello_send_bytes", peers, bytes, "bytes");
     Print("idle_tick", peers,
           TimeUs(200, [&] { Reduce(node, NodeTick{}, now); }), "us");
-    FlowKey key{.protocol = 6};
+    PacketFlowKey key{.protocol = 6};
     Print("flow_owner", peers,
           TimeUs(20,
                  [&] {
@@ -213,7 +213,7 @@
 void MeasureFlows() {
   for (const std::uint32_t flows : {1000U, 10000U, 100000U, 1000000U}) {
     FlowTable table;
-    FlowKey key{.destination = kVirtual, .protocol = 6};
+    PacketFlowKey key{.destination = kVirtual, .protocol = 6};
     for (std::uint32_t i = 0; i < flows; ++i) {
       key.source.ip = i;
       InsertFlow(table, key);
--- a/Bench/DecisionBench.cc
+++ b/Bench/DecisionBench.cc
@@ -75,18 +75,20 @@
 }
 
 struct KeyHash {
-  std::size_t operator()(const FlowKey& key) const { return HashFlow(key); }
+  std::size_t operator()(const PacketFlowKey& key) const {
+    return HashFlow(key);
+  }
 };
 
 void BareLookup(benchmark::State& state) {
   const auto flows = static_cast<std::uint32_t>(state.range(0));
-  std::unordered_map<FlowKey, Endpoint, KeyHash> table;
+  std::unordered_map<PacketFlowKey, Endpoint, KeyHash> table;
   for (std::uint32_t flow = 0; flow < flows; ++flow) {
     const auto info = ReadPacket(MakePacket(flow, kSyn));
     table[info->key] = BackendNumber(flow % 14);
   }
   std::uint32_t random = 1;
-  std::vector<FlowKey> keys;
+  std::vector<PacketFlowKey> keys;
   constexpr std::size_t kDistinct = 64UL * 1024UL;
   for (std::size_t i = 0; i < kDistinct; ++i) {
     keys.push_back(ReadPacket(MakePacket(NextFlow(random, flows), kAck))->key);
@@ -103,7 +105,7 @@
   Fixture fixture = MakeFixture(0, static_cast<std::uint32_t>(state.range(0)));
   const FlowEnvironment environment = fixture.Environment();
   const ServiceRule& service = fixture.rules.services.at("proof");
-  FlowKey key{.destination = kVirtual, .protocol = 6};
+  PacketFlowKey key{.destination = kVirtual, .protocol = 6};
   for ([[maybe_unused]] auto _ : state) {
     key.source.ip += 1;
     benchmark::DoNotOptimize(
--- a/Source/Flows/FlowChoice.cc
+++ b/Source/Flows/FlowChoice.cc
@@ -67,7 +67,7 @@
 
 std::vector<std::uint32_t> OwnersOf(const FlowTier& tier,
                                     const std::set<std::uint32_t>& silent,
-                                    const FlowKey& key) {
+                                    const PacketFlowKey& key) {
   const std::uint64_t hash = HashFlow(key);
   std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked = {
       {MixHash(hash, tier.self), tier.self}};
@@ -92,7 +92,7 @@
 std::optional<Endpoint> ChooseFlowBackend(const FlowTier& tier,
                                           const FlowEnvironment& environment,
                                           const ServiceRule& service,
-                                          const FlowKey& key) {
+                                          const PacketFlowKey& key) {
   const std::vector<const Backend*> candidates = FindCandidates(
       environment.directory, environment.rules, service.name, environment.now);
   const BestTwo best =
--- a/Source/Flows/FlowOwner.cc
+++ b/Source/Flows/FlowOwner.cc
@@ -52,7 +52,7 @@
 
 /// Adds a flow. Returns null when the table is full of established flows, which
 /// take precedence over new ones.
-FlowEntry* AddFlow(FlowContext& context, const FlowKey& key,
+FlowEntry* AddFlow(FlowContext& context, const PacketFlowKey& key,
                    const std::string& service, const Endpoint& backend,
                    bool established) {
   FlowTier& tier = context.tier;
@@ -136,7 +136,7 @@
 /// Forwards the packet that waits for replies about the flow, if there is one.
 /// It goes to the backend server that another instance reported, or, if none
 /// did, to the one that a new flow would get.
-void ResolvePending(FlowContext& context, const FlowKey& key) {
+void ResolvePending(FlowContext& context, const PacketFlowKey& key) {
   const auto found = context.tier.pending.find(key);
   if (found == context.tier.pending.end()) {
     return;
@@ -266,13 +266,13 @@
 }
 
 void ExpirePending(FlowContext& context) {
-  std::vector<FlowKey> expired;
+  std::vector<PacketFlowKey> expired;
   for (const auto& [key, pending] : context.tier.pending) {
     if (context.environment.now >= pending.expires_at) {
       expired.push_back(key);
     }
   }
-  for (const FlowKey& key : expired) {
+  for (const PacketFlowKey& key : expired) {
     ResolvePending(context, key);
   }
 }
--- a/Source/Flows/FlowTable.cc
+++ b/Source/Flows/FlowTable.cc
@@ -5,7 +5,7 @@
 
 constexpr std::size_t kMinSlots = 1024;
 
-std::size_t HomeSlot(const FlowTable& table, const FlowKey& key) {
+std::size_t HomeSlot(const FlowTable& table, const PacketFlowKey& key) {
   // Maps the upper half of the hash onto [0, slots) without a division.
   return static_cast<std::size_t>((HashFlow(key) >> 32) * table.slots.size() >>
                                   32);
@@ -15,7 +15,7 @@
   return slot + 1 == table.slots.size() ? 0 : slot + 1;
 }
 
-bool Matches(const FlowEntry& entry, const FlowKey& key) {
+bool Matches(const FlowEntry& entry, const PacketFlowKey& key) {
   return entry.source_ip == key.source.ip &&
          entry.destination_ip == key.destination.ip &&
          entry.source_port == key.source.port &&
@@ -23,7 +23,7 @@
          entry.protocol == key.protocol;
 }
 
-std::size_t FindFreeSlot(const FlowTable& table, const FlowKey& key) {
+std::size_t FindFreeSlot(const FlowTable& table, const PacketFlowKey& key) {
   std::size_t slot = HomeSlot(table, key);
   while (table.slots[slot].protocol != 0) {
     slot = NextSlot(table, slot);
@@ -62,14 +62,15 @@
 
 }  // namespace
 
-FlowKey KeyOf(const FlowEntry& entry) {
-  return FlowKey{.source = {.ip = entry.source_ip, .port = entry.source_port},
-                 .destination = {.ip = entry.destination_ip,
-                                 .port = entry.destination_port},
-                 .protocol = entry.protocol};
+PacketFlowKey KeyOf(const FlowEntry& entry) {
+  return PacketFlowKey{
+      .source = {.ip = entry.source_ip, .port = entry.source_port},
+      .destination = {.ip = entry.destination_ip,
+                      .port = entry.destination_port},
+      .protocol = entry.protocol};
 }
 
-FlowEntry* FindFlow(FlowTable& table, const FlowKey& key) {
+FlowEntry* FindFlow(FlowTable& table, const PacketFlowKey& key) {
   if (table.slots.empty()) {
     return nullptr;
   }
@@ -83,7 +84,7 @@
   return nullptr;
 }
 
-FlowEntry& InsertFlow(FlowTable& table, const FlowKey& key) {
+FlowEntry& InsertFlow(FlowTable& table, const PacketFlowKey& key) {
   if (IsFull(table)) {
     Grow(table);
   }
--- a/Source/Flows/FlowTable.h
+++ b/Source/Flows/FlowTable.h
@@ -41,15 +41,15 @@
   std::size_t size = 0;
 };
 
-FlowKey KeyOf(const FlowEntry& entry);
+PacketFlowKey KeyOf(const FlowEntry& entry);
 
 /// Returns null when the table has no entry for the flow. The pointer is valid
 /// until the next insertion or removal.
-FlowEntry* FindFlow(FlowTable& table, const FlowKey& key);
+FlowEntry* FindFlow(FlowTable& table, const PacketFlowKey& key);
 
 /// Adds an entry for the key. Precondition: the table has none for it. The
 /// reference is valid until the next insertion or removal.
-FlowEntry& InsertFlow(FlowTable& table, const FlowKey& key);
+FlowEntry& InsertFlow(FlowTable& table, const PacketFlowKey& key);
 
 /// Removes an entry. Precondition: the entry belongs to the table.
 void EraseFlow(FlowTable& table, FlowEntry* entry);
--- a/Source/Flows/FlowTier.cc
+++ b/Source/Flows/FlowTier.cc
@@ -20,7 +20,7 @@
 /// Returns the service of a destination; null when the rules have none, or when
 /// it does not use the packet protocol.
 const ServiceRule* ServiceOf(const FlowEnvironment& environment,
-                             const FlowKey& key) {
+                             const PacketFlowKey& key) {
   const auto address = environment.rules.addresses.find(key.destination);
   if (address == environment.rules.addresses.end()) {
     return nullptr;
--- a/Source/Flows/FlowTier.h
+++ b/Source/Flows/FlowTier.h
@@ -50,13 +50,13 @@
   FlowTable table;
   /// Flows added as half-open, oldest first. May list flows that have since
   /// been established or removed.
-  std::deque<FlowKey> half_open;
+  std::deque<PacketFlowKey> half_open;
   std::vector<Endpoint> backends;
   std::map<Endpoint, std::uint32_t> backend_index;
   std::vector<std::uint64_t> flows_per_backend;  ///< By index.
   std::vector<std::string> services;
   std::map<std::string, std::uint16_t> service_index;
-  std::map<FlowKey, PendingFlow> pending;
+  std::map<PacketFlowKey, PendingFlow> pending;
   std::size_t sweep_position = 0;  ///< Slot that `FlowTick` checked last.
   std::map<std::string, std::uint64_t> counters;
 };
@@ -105,13 +105,13 @@
 /// returned; present deployments have no more instances than that.
 std::vector<std::uint32_t> OwnersOf(const FlowTier& tier,
                                     const std::set<std::uint32_t>& silent,
-                                    const FlowKey& key);
+                                    const PacketFlowKey& key);
 
 /// Returns the backend server for a new flow; empty when no server is
 /// available.
 std::optional<Endpoint> ChooseFlowBackend(const FlowTier& tier,
                                           const FlowEnvironment& environment,
                                           const ServiceRule& service,
-                                          const FlowKey& key);
+                                          const PacketFlowKey& key);
 
 }  // namespace filbertwall
--- a/Source/Flows/Packet.cc
+++ b/Source/Flows/Packet.cc
@@ -106,7 +106,7 @@
   return static_cast<std::uint32_t>(Hash64(service) & kMask);
 }
 
-std::uint64_t HashFlow(const FlowKey& key) {
+std::uint64_t HashFlow(const PacketFlowKey& key) {
   const std::uint64_t addresses =
       static_cast<std::uint64_t>(key.source.ip) << 32 | key.destination.ip;
   const std::uint64_t ports =
@@ -115,7 +115,7 @@
   return MixHash(addresses, ports);
 }
 
-std::string EncodeFlowKey(const FlowKey& key) {
+std::string EncodeFlowKey(const PacketFlowKey& key) {
   std::string bytes;
   Append32(bytes, key.source.ip);
   Append32(bytes, key.destination.ip);
@@ -125,13 +125,13 @@
   return bytes;
 }
 
-std::optional<FlowKey> DecodeFlowKey(const std::string& bytes) {
+std::optional<PacketFlowKey> DecodeFlowKey(const std::string& bytes) {
   if (bytes.size() != kFlowKeyBytes) {
     return std::nullopt;
   }
   const Bytes view(reinterpret_cast<const std::uint8_t*>(bytes.data()),
                    bytes.size());
-  return FlowKey{
+  return PacketFlowKey{
       .source = {.ip = Read32(view, 0), .port = Read16(view, 8)},
       .destination = {.ip = Read32(view, 4), .port = Read16(view, 10)},
       .protocol = view[12]};
--- a/Source/Flows/Packet.h
+++ b/Source/Flows/Packet.h
@@ -11,16 +11,16 @@
 namespace filbertwall {
 
 /// Source, destination and protocol of a flow.
-struct FlowKey {
+struct PacketFlowKey {
   Endpoint source;
   Endpoint destination;
   std::uint8_t protocol = 0;
-  auto operator<=>(const FlowKey&) const = default;
+  auto operator<=>(const PacketFlowKey&) const = default;
 };
 
 /// The fields of a packet that determine how it is forwarded.
 struct PacketInfo {
-  FlowKey key;
+  PacketFlowKey key;
   bool tcp = false;
   bool syn = false;            ///< Opens a TCP flow (SYN without ACK).
   bool fin = false;            ///< Ends a TCP flow (FIN or RST).
@@ -42,12 +42,12 @@
 /// name.
 std::uint32_t NetworkIdentifierOf(const std::string& service);
 
-std::uint64_t HashFlow(const FlowKey& key);
+std::uint64_t HashFlow(const PacketFlowKey& key);
 
 /// Encodes a key in 13 bytes, all fields big-endian, for messages between
 /// instances.
-std::string EncodeFlowKey(const FlowKey& key);
+std::string EncodeFlowKey(const PacketFlowKey& key);
 /// Returns an empty value when `bytes` has another length.
-std::optional<FlowKey> DecodeFlowKey(const std::string& bytes);
+std::optional<PacketFlowKey> DecodeFlowKey(const std::string& bytes);
 
 }  // namespace filbertwall
--- a/Tests/Flows/FlowsTest.cc
+++ b/Tests/Flows/FlowsTest.cc
@@ -37,10 +37,10 @@
   return bytes;
 }
 
-FlowKey MakeKey(std::uint32_t number) {
-  return FlowKey{.source = {.ip = number, .port = 7},
-                 .destination = {.ip = 9, .port = 80},
-                 .protocol = 6};
+PacketFlowKey MakeKey(std::uint32_t number) {
+  return PacketFlowKey{.source = {.ip = number, .port = 7},
+                       .destination = {.ip = 9, .port = 80},
+                       .protocol = 6};
 }
 
 const Endpoint kServiceAddress{.ip = 10U << 24 | 2, .port = 80};
@@ -98,9 +98,9 @@
 TEST(Flows, TableMatchesAMapOverRandomOperations) {
   std::mt19937 random(7);
   FlowTable table;
-  std::map<FlowKey, std::uint32_t> model;
+  std::map<PacketFlowKey, std::uint32_t> model;
   for (std::uint32_t step = 0; step < 200000; ++step) {
-    const FlowKey key = MakeKey(random() % 5000);
+    const PacketFlowKey key = MakeKey(random() % 5000);
     FlowEntry* entry = FindFlow(table, key);
     const auto known = model.find(key);
     CHECK_EQUAL(known != model.end(), entry != nullptr);
