--- a/Tests/Soak/odd_writer.py
+++ b/Tests/Soak/odd_writer.py
@@ -117,8 +117,9 @@
         self.post(self.server_path(b"Deregister"), body or b"{")
 
     def config(self):
-        """Always invalid: it names a service that it does not have."""
-        document = {"Version": 10**6, "Services": [{"Name": "práctica"}],
+        """Always invalid: it names a service that it does not have, and none of
+        the odd values is the name of one that it has."""
+        document = {"Version": 10**6, "Services": [{"Name": "sesión"}],
                     "Routes": [{"Name": "r", "Hostname": "198.18.0.9",
                                 "PathPrefix": "/443/", "Type": "safe",
                                 "TimeoutMs": 1000, "Service": "no such"}],
