--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -20,6 +20,8 @@
 constexpr std::uint32_t kUnavailable = 503;
 
 constexpr std::size_t kMinConnections = 8;
+/// Descriptors that are assumed when their limit can't be read.
+constexpr rlim_t kUsualDescriptors = 1024;
 
 /// Bytes that a connection buffers: a whole body and the next request's head.
 constexpr std::size_t kMaxBufferedBytes = kMaxBodyBytes + kMaxHeaderBytes;
@@ -38,9 +40,6 @@
   return listeners;
 }
 
-/// Assumed when the limit can't be read.
-constexpr rlim_t kUsualDescriptors = 1024;
-
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 timeval ToTimeval(Milliseconds time) {
