Fleet: A control instance that isn't heard isn't fresh

Cause: a control instance that hears the others but isn't heard is told of no changes any more once its subscription runs out after 3 s; it called its updates fresh as long as heartbeats arrived, so the entry instances of its data centre stayed with it.

An acknowledgement of a heartbeat carries its send time, and the leader's next heartbeat to that instance returns it. An instance whose acknowledgements were not returned for 1 s isn't fresh. That is before the others cease to send it changes, so its followers are elsewhere by then.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -20,6 +20,8 @@
   kLogCorrupt = 2005,
   kSyncFailed = 2006,
   kDiskRestored = 2007,
+  kInTouch = 2008,
+  kOutOfTouch = 2009,
   kRulesUnreadable = 2012,
   kRulesInForce = 2010,
   kSubmissionResult = 2011,
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -279,6 +279,14 @@
          replica.committed.seq() >= replica.leader_newest_seq;
 }
 
+bool IsHeardByLeader(const Replica& replica, TimePoint now,
+                     Milliseconds limit) {
+  if (replica.role == ReplicaRole::kLeader) {
+    return HasLease(replica, now);
+  }
+  return now - replica.confirmed_ack_sent_at <= limit;
+}
+
 wire::DurableRecord FoundingRecord(std::uint32_t instance,
                                    const std::set<std::uint32_t>& founders) {
   std::uint64_t cluster = 1;
@@ -347,6 +355,7 @@
   replica.leaderless_since = context.now;
   replica.promises.clear();
   replica.last_acked_send.clear();
+  replica.last_ack_sent.clear();
   replica.voter_heard_at.clear();
   replica.standbys.clear();
   replica.next_election_at =
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -96,6 +96,9 @@
   std::deque<PendingChange> queue;
   /// Send time of the latest heartbeat that each voter acknowledged.
   std::map<std::uint32_t, TimePoint> last_acked_send;
+  /// Send time, by the clock of each voter and standby, of its latest
+  /// acknowledgement of a heartbeat. Leader only.
+  std::map<std::uint32_t, Microseconds> last_ack_sent;
   /// When the leader last received a message from each voter.
   std::map<std::uint32_t, TimePoint> voter_heard_at;
   std::map<std::uint32_t, Standby> standbys;  ///< Leader only.
@@ -110,6 +113,9 @@
   std::uint32_t lease_holder = 0;
   LeaseRecovery recovery;
   TimePoint leader_heard_at;  ///< When the last heartbeat was received.
+  /// Send time of the latest acknowledgement that a leader has confirmed to
+  /// have received.
+  TimePoint confirmed_ack_sent_at;
   /// Highest sequence number of which a heartbeat said that the entry is
   /// committed, or that an earlier leader may have committed it.
   std::uint64_t leader_newest_seq = 0;
@@ -193,6 +199,12 @@
 /// heartbeats reported as committed or possibly committed.
 bool HasFreshState(const Replica& replica, TimePoint now, Milliseconds limit);
 
+/// Whether messages pass between this replica and a leader in both directions:
+/// it is a leader with a lease, or a leader has confirmed that it received an
+/// acknowledgement that this replica sent within `limit`. A replica that only
+/// receives lacks what the others tell those that subscribe to them.
+bool IsHeardByLeader(const Replica& replica, TimePoint now, Milliseconds limit);
+
 /// Returns the initial record of a founder of a new cluster. All founders get
 /// the same state if they pass the same set. Precondition: the replica that
 /// the record is applied to has promised no ballot yet.
--- a/Source/Control/ReplicaContext.cc
+++ b/Source/Control/ReplicaContext.cc
@@ -1,5 +1,7 @@
 #include "Control/ReplicaContext.h"
 
+#include <algorithm>
+
 #include "Base/Hash.h"
 
 namespace filbertwall {
@@ -28,25 +30,53 @@
   Send(context, to, std::move(message));
 }
 
-void SendHeartbeats(ReplicaContext& context) {
-  Replica& replica = context.replica;
-  replica.next_heartbeat_at = context.now + replica.config.heartbeat_interval;
+std::int64_t ClockMicroseconds(const ReplicaContext& context) {
+  return std::chrono::duration_cast<Microseconds>(
+             context.now.time_since_epoch())
+      .count();
+}
+
+void SendHeartbeat(ReplicaContext& context, std::uint32_t to) {
+  const Replica& replica = context.replica;
   wire::ControlMessage message;
   wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
   *heartbeat.mutable_ballot() = replica.ballot;
   heartbeat.set_committed_seq(replica.committed.seq());
   heartbeat.set_inherited_seq(replica.inherited_seq);
-  heartbeat.set_sent_us(
-      std::chrono::duration_cast<Microseconds>(context.now.time_since_epoch())
-          .count());
-  SendToVoters(context, message);
+  heartbeat.set_sent_us(ClockMicroseconds(context));
+  const auto ack = replica.last_ack_sent.find(to);
+  if (ack != replica.last_ack_sent.end()) {
+    heartbeat.set_echoed_us(ack->second.count());
+  }
+  Send(context, to, std::move(message));
+}
+
+void SendHeartbeats(ReplicaContext& context) {
+  Replica& replica = context.replica;
+  replica.next_heartbeat_at = context.now + replica.config.heartbeat_interval;
+  for (const wire::Member& member : replica.committed.members()) {
+    if (member.instance() != replica.config.self) {
+      SendHeartbeat(context, member.instance());
+    }
+  }
   for (const auto& [instance, standby] : replica.standbys) {
     if (!IsVoter(replica.committed, instance, standby.incarnation)) {
-      Send(context, instance, message);
+      SendHeartbeat(context, instance);
     }
   }
 }
 
+void RecordAck(ReplicaContext& context, std::uint32_t from,
+               const wire::HeartbeatAck& ack) {
+  const Microseconds sent(ack.sent_us());
+  const auto [latest, is_first] =
+      context.replica.last_ack_sent.try_emplace(from, sent);
+  latest->second = std::max(latest->second, sent);
+  if (is_first) {
+    SendHeartbeat(context, from);
+  }
+}
+
 void PersistPromise(ReplicaContext& context, const wire::Ballot& ballot) {
   context.replica.promised_ballot = ballot;
   wire::DurableRecord record;
--- a/Source/Control/ReplicaContext.h
+++ b/Source/Control/ReplicaContext.h
@@ -28,7 +28,15 @@
 void SendToVoters(ReplicaContext& context, const wire::ControlMessage& message);
 /// Sends the complete committed state, which replaces an older one at `to`.
 void SendInstall(ReplicaContext& context, std::uint32_t to);
+void SendHeartbeat(ReplicaContext& context, std::uint32_t to);
+/// Sends a heartbeat to every other voter and every standby.
 void SendHeartbeats(ReplicaContext& context);
+/// Records an acknowledgement of a voter or standby, which later heartbeats to
+/// it confirm. The first one is confirmed at once. Leader only.
+void RecordAck(ReplicaContext& context, std::uint32_t from,
+               const wire::HeartbeatAck& ack);
+/// Returns the time of the event as messages state it.
+std::int64_t ClockMicroseconds(const ReplicaContext& context);
 
 /// Sets the promised ballot and writes it to the log.
 void PersistPromise(ReplicaContext& context, const wire::Ballot& ballot);
--- a/Source/Control/ReplicaMembers.cc
+++ b/Source/Control/ReplicaMembers.cc
@@ -104,6 +104,7 @@
   }
   standby->second.heard_at = context.now;
   standby->second.committed_seq = ack.committed_seq();
+  RecordAck(context, from, ack);
   if (ack.committed_seq() < replica.committed.seq()) {
     SendInstall(context, from);
   }
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -249,9 +249,15 @@
   replica.leader_newest_seq =
       std::max({replica.leader_newest_seq, heartbeat.committed_seq(),
                 heartbeat.inherited_seq()});
+  const TimePoint confirmed{Microseconds(heartbeat.echoed_us())};
+  if (confirmed <= context.now) {
+    replica.confirmed_ack_sent_at =
+        std::max(replica.confirmed_ack_sent_at, confirmed);
+  }
   *ack.mutable_ballot() = heartbeat.ballot();
   ack.set_committed_seq(replica.committed.seq());
   ack.set_echoed_us(heartbeat.sent_us());
+  ack.set_sent_us(ClockMicroseconds(context));
   Send(context, from, std::move(message));
 }
 
@@ -266,6 +272,7 @@
   const TimePoint sent{Microseconds(ack.echoed_us())};
   TimePoint& latest = replica.last_acked_send[from];
   latest = std::max(latest, std::min(sent, context.now));
+  RecordAck(context, from, ack);
   if (ack.committed_seq() < replica.committed.seq()) {
     SendInstall(context, from);
   }
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -48,6 +48,11 @@
 /// which a heartbeat arrived recently. Returns 0 when there is none.
 InstanceAddress RedirectTarget(const ControlContext& context);
 
+/// Returns whether messages pass between this instance and a leader in both
+/// directions: the rules and servers known here are then the newest ones, but
+/// for a short delay.
+bool IsInTouch(const ControlInstance& instance, TimePoint now);
+
 /// Sends updates to all subscribers that lack changes.
 void PushUpdates(ControlContext& context);
 /// Schedules `PushUpdates` after a short delay, to batch changes.
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -183,9 +183,32 @@
   context.effects.emplace_back(std::move(effect));
 }
 
+void UpdateInTouch(ControlContext& context) {
+  ControlInstance& instance = context.instance;
+  const Replica& replica = instance.replica;
+  const bool in_touch = IsInTouch(instance, context.now);
+  if (in_touch == instance.in_touch) {
+    return;
+  }
+  instance.in_touch = in_touch;
+  if (in_touch) {
+    Log(context, EventId::kInTouch, "leader=" + FormatIp(replica.leader));
+    return;
+  }
+  Log(context, EventId::kOutOfTouch,
+      "leader=" + FormatIp(replica.leader) + " heard_ms=" +
+          std::to_string(
+              MillisecondsBetween(replica.leader_heard_at, context.now)) +
+          " confirmed_ms=" +
+          std::to_string(
+              MillisecondsBetween(replica.confirmed_ack_sent_at, context.now)),
+      Severity::kWarning);
+}
+
 void HandleTick(ControlContext& context) {
   ControlInstance& instance = context.instance;
   RunReplica(context, ControlTick{});
+  UpdateInTouch(context);
   if (context.now >= instance.next_subscribe_at) {
     SubscribeToOthers(context);
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -131,6 +131,7 @@
   /// disk, received from a control instance with a complete one, or each server
   /// has had time to report.
   bool settled = false;
+  bool in_touch = false;  ///< `IsInTouch` at the last tick.
   bool stopping = false;
   bool disk_failed = false;         ///< The replica is not run while set.
   std::uint64_t disk_restores = 0;  ///< `ControlDiskRestored` events so far.
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -31,6 +31,11 @@
 /// The committed state counts as fresh for this long after it was confirmed as
 /// the newest one.
 constexpr Milliseconds kFreshnessLimit{400};
+/// This instance counts as heard for this long after it sent the latest message
+/// that a leader has confirmed. This is shorter than `kSubscriberTimeout`, so
+/// that entry instances follow another one before the others cease to send
+/// changes here.
+constexpr Milliseconds kHeardLimit{1000};
 
 /// Returns whether the subscriber sent a request recently.
 bool IsActive(const Subscriber& subscriber, TimePoint now) {
@@ -87,9 +92,7 @@
   ControlInstance& instance = context.instance;
   const wire::ControlState& state = instance.replica.committed;
   wire::Update update;
-  update.set_fresh(
-      !instance.disk_failed &&
-      HasFreshState(instance.replica, context.now, kFreshnessLimit));
+  update.set_fresh(IsInTouch(instance, context.now));
   update.set_settled(CheckSettled(context));
   for (const wire::Member& member : state.members()) {
     update.add_control_instances(member.instance());
@@ -247,6 +250,12 @@
 
 }  // namespace
 
+bool IsInTouch(const ControlInstance& instance, TimePoint now) {
+  return !instance.disk_failed &&
+         HasFreshState(instance.replica, now, kFreshnessLimit) &&
+         IsHeardByLeader(instance.replica, now, kHeardLimit);
+}
+
 RegistrySource* AddSource(ControlContext& context, InstanceAddress address) {
   ControlInstance& instance = context.instance;
   if (address == 0 || address == instance.config.self) {
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -175,6 +175,8 @@
   AddGauge(samples, "leader_known",
            "1 when this instance leads or hears the leader.",
            HasFreshState(replica, now, replica.config.lease) ? 1 : 0);
+  AddGauge(samples, "in_touch", "1 when messages pass to and from a leader.",
+           instance.in_touch ? 1 : 0);
   AddGauge(samples, "voters", "Voting control instances.",
            replica.committed.members_size());
   AddGauge(samples, "rules_version", "Version of the rules in force.",
--- /dev/null
+++ b/Tests/Fleet/OneWayCutTest.cc
@@ -0,0 +1,281 @@
+#include <memory>
+
+#include "FleetWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+/// Tests cuts that let messages pass between control instances in one direction
+/// only.
+using namespace filbertwall;
+
+namespace {
+
+constexpr Milliseconds kStartTime{4000};
+constexpr Milliseconds kReportInterval{1200};
+/// The users' bounds: an acknowledged change holds everywhere after this.
+constexpr Milliseconds kApplyLimit{3000};
+/// Time after a cut after which the other control instances are in touch again.
+constexpr Milliseconds kContactTime{4000};
+constexpr Milliseconds kStep{50};
+constexpr std::uint64_t kFirstVersion = 5;
+
+enum class Direction { kNotHeard, kDeaf };
+
+/// What callers and operators rely on during a cut.
+enum class Promise {
+  kLeavingServerIsLeft,
+  kReadyServerIsUsed,
+  kChangeIsInForce,
+};
+
+/// A backend server that reports as the users' servers do: to where the last
+/// answer sent it, and to another control instance after a failure.
+struct ReportingServer {
+  std::string id;
+  InstanceAddress reports_to = 0;
+  std::uint64_t sequence = 0;
+  wire::ServerPhase phase = wire::SERVER_READY;
+  CallId call = 0;
+  TimePoint started_at;
+  TimePoint next_report_at;
+  std::optional<TimePoint> drain_acked_at;
+};
+
+struct OneWayCut {
+  FleetWorld world;
+  std::vector<ReportingServer> servers;
+  std::size_t released = 0;  ///< The first of `servers` leave.
+  std::uint64_t version = kFirstVersion;
+  std::map<Promise, std::string> violations;  ///< The first of each kind.
+};
+
+void RecordViolation(OneWayCut& cut, Promise promise, const std::string& text) {
+  cut.violations.try_emplace(promise, text);
+}
+
+InstanceAddress NextControl(const FleetWorld& world, InstanceAddress after) {
+  const auto next = world.controls.upper_bound(after);
+  return next == world.controls.end() ? world.controls.begin()->first
+                                      : next->first;
+}
+
+void ReadAnswer(FleetWorld& world, ReportingServer& server) {
+  const auto answer = world.answers.find(server.call);
+  const bool accepted = answer != world.answers.end() &&
+                        answer->second.verdict == CallVerdict::kAccepted;
+  if (accepted && server.phase == wire::SERVER_DRAINING &&
+      !server.drain_acked_at) {
+    server.drain_acked_at = world.now;
+  }
+  server.reports_to = accepted ? answer->second.next_report_address
+                               : NextControl(world, server.reports_to);
+}
+
+void ReportDue(OneWayCut& cut) {
+  FleetWorld& world = cut.world;
+  for (ReportingServer& server : cut.servers) {
+    if (world.now < server.next_report_at) {
+      continue;
+    }
+    if (server.call != 0) {
+      ReadAnswer(world, server);
+    }
+    server.call = Report(world, server.reports_to, server.id, ++server.sequence,
+                         server.phase);
+    // A server that leaves repeats itself sooner until it is answered.
+    const bool waits =
+        server.phase == wire::SERVER_DRAINING && !server.drain_acked_at;
+    server.next_report_at =
+        world.now + (waits ? Milliseconds(600) : kReportInterval);
+  }
+}
+
+/// Checks that no entry instance uses a server later than `kApplyLimit` after
+/// the acknowledgement that it is draining, and that each uses a ready server
+/// from `kApplyLimit` after its start on.
+void CheckServers(OneWayCut& cut, const std::string& when) {
+  for (const ReportingServer& server : cut.servers) {
+    const bool must_be_left =
+        server.drain_acked_at &&
+        cut.world.now > *server.drain_acked_at + kApplyLimit;
+    const bool must_be_used = server.phase == wire::SERVER_READY &&
+                              cut.world.now > server.started_at + kApplyLimit;
+    for (const auto& [id, entry] : cut.world.entries) {
+      const bool usable = IsUsableAt(cut.world, id, server.id);
+      const std::string who = when + ": entry instance " + std::to_string(id);
+      if (must_be_left && usable) {
+        RecordViolation(cut, Promise::kLeavingServerIsLeft,
+                        who + " uses " + server.id);
+      }
+      if (must_be_used && !usable) {
+        RecordViolation(cut, Promise::kReadyServerIsUsed,
+                        who + " does not use " + server.id);
+      }
+    }
+  }
+}
+
+void RunWithReports(OneWayCut& cut, Milliseconds time,
+                    const std::string& when) {
+  for (Milliseconds passed{0}; passed < time; passed += kStep) {
+    ReportDue(cut);
+    Run(cut.world, kStep);
+    for (ReportingServer& server : cut.servers) {
+      const auto answer = cut.world.answers.find(server.call);
+      const bool acked = answer != cut.world.answers.end() &&
+                         answer->second.verdict == CallVerdict::kAccepted &&
+                         server.phase == wire::SERVER_DRAINING;
+      if (acked && !server.drain_acked_at) {
+        server.drain_acked_at = cut.world.now;
+      }
+    }
+    CheckServers(cut, when);
+  }
+}
+
+void AddServer(OneWayCut& cut) {
+  const std::size_t index = cut.servers.size();
+  const auto controls = static_cast<std::uint32_t>(cut.world.controls.size());
+  cut.servers.push_back(
+      {.id = "a" + std::to_string(10 + index),
+       .reports_to = 1 + static_cast<std::uint32_t>(index) % controls,
+       .started_at = cut.world.now,
+       .next_report_at = cut.world.now});
+}
+
+OneWayCut MakeOneWayCut(InstanceAddress controls) {
+  OneWayCut cut{.world = MakeWorld(controls, 4)};
+  Run(cut.world, kStartTime);
+  CHECK(SubmitUntilAccepted(cut.world, kFirstVersion));
+  for (std::uint32_t i = 0; i < 3 * controls; ++i) {
+    AddServer(cut);
+  }
+  RunWithReports(cut, 2 * kReportInterval, "before the cut");
+  return cut;
+}
+
+void Cut(FleetWorld& world, InstanceAddress one, Direction direction) {
+  const std::map<InstanceAddress, ControlInstance>* controls = &world.controls;
+  world.is_lost = [controls, one, direction](InstanceAddress from,
+                                             InstanceAddress to) {
+    const bool between =
+        controls->contains(from) && controls->contains(to) && from != to;
+    return between && (direction == Direction::kNotHeard ? from : to) == one;
+  };
+}
+
+/// Replaces one server after the other: a new one starts, then the old one
+/// leaves.
+void ReleaseServers(OneWayCut& cut, Milliseconds time,
+                    const std::string& when) {
+  constexpr Milliseconds kGap{1000};
+  for (Milliseconds passed{0}; passed < time; passed += kGap) {
+    AddServer(cut);
+    ReportingServer& leaving = cut.servers[cut.released++];
+    leaving.phase = wire::SERVER_DRAINING;
+    leaving.next_report_at = cut.world.now;
+    RunWithReports(cut, kGap, when);
+  }
+}
+
+/// Submits the next version as an operator does, who goes on to another control
+/// instance after a failure. Returns whether it was accepted in time.
+bool SubmitNextVersion(OneWayCut& cut, const std::string& when) {
+  constexpr int kAttempts = 8;
+  constexpr Milliseconds kAnswerTime{800};
+  cut.version += 1;
+  InstanceAddress to = cut.world.controls.begin()->first;
+  for (int i = 0; i < kAttempts; ++i) {
+    const CallId call = Submit(cut.world, to, cut.version);
+    RunWithReports(cut, kAnswerTime, when);
+    const auto answer = cut.world.answers.find(call);
+    const bool answered = answer != cut.world.answers.end();
+    if (answered && answer->second.verdict == CallVerdict::kAccepted) {
+      return true;
+    }
+    const bool redirected =
+        answered && answer->second.verdict == CallVerdict::kRedirected;
+    to = redirected ? answer->second.leader : NextControl(cut.world, to);
+  }
+  return false;
+}
+
+/// Submits a version and checks that it is in force in time everywhere.
+void ChangeRules(OneWayCut& cut, const std::string& when) {
+  const bool accepted = SubmitNextVersion(cut, when);
+  RunWithReports(cut, kApplyLimit, when);
+  for (const auto& [id, entry] : cut.world.entries) {
+    if (!accepted || VersionAt(cut.world, id) != cut.version) {
+      RecordViolation(cut, Promise::kChangeIsInForce,
+                      when + ": version " + std::to_string(cut.version) +
+                          (accepted ? " is not in force" : " is not accepted") +
+                          " at entry instance " + std::to_string(id));
+    }
+  }
+}
+
+std::string DirectionName(Direction direction) {
+  return direction == Direction::kNotHeard ? "not heard" : "deaf";
+}
+
+std::map<Promise, std::string> PlayCut(InstanceAddress controls,
+                                       InstanceAddress one, Direction direction,
+                                       Milliseconds length) {
+  OneWayCut cut = MakeOneWayCut(controls);
+  Cut(cut.world, one, direction);
+  ReleaseServers(cut, length, "during the cut");
+  if (length > kContactTime) {
+    ChangeRules(cut, "during the cut");
+  }
+  cut.world.is_lost = [](InstanceAddress, InstanceAddress) { return false; };
+  RunWithReports(cut, kContactTime, "after the cut");
+  ChangeRules(cut, "after the cut");
+  return cut.violations;
+}
+
+/// Plays cuts shorter and longer than a lease at each control instance. Returns
+/// the first violation of the promise or an empty string.
+std::string PlayCuts(Direction direction, Promise promise) {
+  for (InstanceAddress controls = 3; controls <= 5; ++controls) {
+    for (InstanceAddress one = 1; one <= controls; ++one) {
+      for (const int length : {300, 900, 2500, 8000}) {
+        const auto violations =
+            PlayCut(controls, one, direction, Milliseconds(length));
+        const auto found = violations.find(promise);
+        if (found != violations.end()) {
+          return std::to_string(controls) + " control instances, " +
+                 std::to_string(one) + " " + DirectionName(direction) +
+                 " for " + std::to_string(length) + " ms, " + found->second;
+        }
+      }
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_GROUP(OneWayCut){};
+
+/// Guards against entry instances that stay with a control instance which hears
+/// the others, but isn't heard, and so isn't told any more which servers leave.
+TEST(OneWayCut, InstanceThatIsNotHeardHidesNoLeavingServer) {
+  STRCMP_EQUAL(
+      "",
+      PlayCuts(Direction::kNotHeard, Promise::kLeavingServerIsLeft).c_str());
+}
+
+TEST(OneWayCut, InstanceThatHearsNoOtherHidesNoLeavingServer) {
+  STRCMP_EQUAL(
+      "", PlayCuts(Direction::kDeaf, Promise::kLeavingServerIsLeft).c_str());
+}
+
+TEST(OneWayCut, InstanceThatIsNotHeardDelaysNoChange) {
+  STRCMP_EQUAL(
+      "", PlayCuts(Direction::kNotHeard, Promise::kChangeIsInForce).c_str());
+}
+
+TEST(OneWayCut, InstanceThatHearsNoOtherDelaysNoChange) {
+  STRCMP_EQUAL("",
+               PlayCuts(Direction::kDeaf, Promise::kChangeIsInForce).c_str());
+}
