Fleet: A control instance is fresh once it knows what it has missed

Besides, it marked servers that report to others as silent while it wasn't told of their reports, and its followers refused them after the cut.

An instance is in touch only if it knew all servers of the leader within 2.5 s (a leader: those of another voter), and asks for them every 0.2 s until it does. It marks no server as silent while out of touch, and afterwards gives servers the time that they have after a start.

Before: OneWayCut.InstanceThatIsHeardAgainKnowsWhoLeftBeforeItIsFresh and its counterpart for an instance that hears again failed.

--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -49,9 +49,12 @@
 InstanceAddress RedirectTarget(const ControlContext& context);
 
 /// Returns whether messages pass between this instance and a leader in both
-/// directions: the rules and servers known here are then the newest ones, but
-/// for a short delay.
+/// directions and have told it what the leader knows: the rules and servers
+/// known here are then the newest ones, but for a short delay.
 bool IsInTouch(const ControlInstance& instance, TimePoint now);
+/// Requests the servers of the other control instances soon if this instance is
+/// heard by a leader, but does not know the servers yet.
+void CatchUp(ControlContext& context);
 
 /// Sends updates to all subscribers that lack changes.
 void PushUpdates(ControlContext& context);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -183,10 +183,26 @@
   context.effects.emplace_back(std::move(effect));
 }
 
+/// An instance that was out of touch can't tell which servers have reported to
+/// the others: gives them the time that they have after a start.
+void AllowTimeToReport(ControlContext& context) {
+  ControlInstance& instance = context.instance;
+  const Milliseconds interval = instance.config.announce_interval;
+  if (context.now - instance.in_touch_until > interval) {
+    SetLastHeardAtLeast(instance.registry,
+                        context.now - interval * (kIntervalsUntilSilent -
+                                                  kIntervalsUntilSettled));
+  }
+}
+
 void UpdateInTouch(ControlContext& context) {
   ControlInstance& instance = context.instance;
   const Replica& replica = instance.replica;
   const bool in_touch = IsInTouch(instance, context.now);
+  if (in_touch) {
+    AllowTimeToReport(context);
+    instance.in_touch_until = context.now;
+  }
   if (in_touch == instance.in_touch) {
     return;
   }
@@ -228,7 +244,8 @@
   instance.next_housekeeping_at = context.now + kHousekeepingInterval;
   const Milliseconds silence =
       instance.config.announce_interval * kIntervalsUntilSilent;
-  if (MarkSilent(instance.registry, silence, context.now) > 0) {
+  if (instance.in_touch &&
+      MarkSilent(instance.registry, silence, context.now) > 0) {
     SchedulePush(context);
   }
   RemoveExpiredServers(instance.registry, kGoneRetention, context.now);
@@ -277,6 +294,7 @@
   void operator()(const ControlInstanceStarted& event) {
     ControlInstance& instance = this->context.instance;
     instance.started_at = this->context.now;
+    instance.in_touch_until = this->context.now;
     instance.next_push_at = kNever;
     // First, since an election needs the answers to its messages.
     RunReplica(this->context,
@@ -367,6 +385,7 @@
     std::visit(ReplicaVisitor{.context = context}, effect);
   }
   LogLeadership(context, before);
+  CatchUp(context);
   if (instance.replica.committed.seq() != seq_before) {
     LogVoters(context);
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -48,7 +48,9 @@
 struct RegistrySource {
   RegistryPosition position;
   std::string data_centre;
-  TimePoint heard_at;              ///< When it was last known to be running.
+  TimePoint heard_at;  ///< When it was last known to be running.
+  /// When its whole registry was last known here.
+  TimePoint complete_at;
   wire::RulesStatus rules_status;  ///< As last received; `instance` 0 if never.
   TimePoint rules_status_at;       ///< When `rules_status` was received.
 };
@@ -118,6 +120,7 @@
   TimePoint started_at;
   /// Next request to the other control instances.
   TimePoint next_subscribe_at;
+  TimePoint last_subscribe_at;
   TimePoint next_push_at;  ///< Next push; `kNever` when none is scheduled.
   TimePoint last_push_at;  ///< When `PushUpdates` last ran.
   TimePoint next_housekeeping_at;  ///< Next removal of expired state.
@@ -131,7 +134,8 @@
   /// disk, received from a control instance with a complete one, or each server
   /// has had time to report.
   bool settled = false;
-  bool in_touch = false;  ///< `IsInTouch` at the last tick.
+  bool in_touch = false;     ///< `IsInTouch` at the last tick.
+  TimePoint in_touch_until;  ///< Last tick with `in_touch`, or the start.
   bool stopping = false;
   bool disk_failed = false;         ///< The replica is not run while set.
   std::uint64_t disk_restores = 0;  ///< `ControlDiskRestored` events so far.
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -36,12 +36,43 @@
 /// that entry instances follow another one before the others cease to send
 /// changes here.
 constexpr Milliseconds kHeardLimit{1000};
+/// The servers known to a leader count as known here for this long after an
+/// update that held them all.
+constexpr Milliseconds kCompleteLimit{2500};
+/// Interval between two requests to the other control instances while their
+/// servers are not known.
+constexpr Milliseconds kCatchUpInterval{200};
 
 /// Returns whether the subscriber sent a request recently.
 bool IsActive(const Subscriber& subscriber, TimePoint now) {
   return now - subscriber.heard_at <= kSubscriberTimeout;
 }
 
+/// Returns whether the whole registry of another instance was known here
+/// lately.
+bool KnowsServersOf(const ControlInstance& instance, InstanceAddress other,
+                    TimePoint now) {
+  const auto source = instance.sources.find(other);
+  return source != instance.sources.end() &&
+         now - source->second.complete_at <= kCompleteLimit;
+}
+
+/// Returns whether this instance knows the servers that the leader knows, and
+/// as the leader those that another voter knows. What one instance in touch
+/// knows, the leader is told.
+bool KnowsServersOfLeader(const ControlInstance& instance, TimePoint now) {
+  const Replica& replica = instance.replica;
+  if (replica.role != ReplicaRole::kLeader) {
+    return KnowsServersOf(instance, replica.leader, now);
+  }
+  const auto& members = replica.committed.members();
+  return members.size() <= 1 ||
+         std::any_of(members.begin(), members.end(),
+                     [&](const wire::Member& member) {
+                       return KnowsServersOf(instance, member.instance(), now);
+                     });
+}
+
 /// Updates `settled` and returns it.
 bool CheckSettled(ControlContext& context) {
   ControlInstance& instance = context.instance;
@@ -253,7 +284,20 @@
 bool IsInTouch(const ControlInstance& instance, TimePoint now) {
   return !instance.disk_failed &&
          HasFreshState(instance.replica, now, kFreshnessLimit) &&
-         IsHeardByLeader(instance.replica, now, kHeardLimit);
+         IsHeardByLeader(instance.replica, now, kHeardLimit) &&
+         KnowsServersOfLeader(instance, now);
+}
+
+void CatchUp(ControlContext& context) {
+  ControlInstance& instance = context.instance;
+  const bool behind =
+      IsHeardByLeader(instance.replica, context.now, kHeardLimit) &&
+      !KnowsServersOfLeader(instance, context.now);
+  if (behind) {
+    instance.next_subscribe_at =
+        std::min(instance.next_subscribe_at,
+                 instance.last_subscribe_at + kCatchUpInterval);
+  }
 }
 
 RegistrySource* AddSource(ControlContext& context, InstanceAddress address) {
@@ -350,6 +394,7 @@
 
 void SubscribeToOthers(ControlContext& context) {
   ControlInstance& instance = context.instance;
+  instance.last_subscribe_at = context.now;
   instance.next_subscribe_at = context.now + kSubscribeInterval;
   for (const InstanceAddress other :
        OtherControlInstances(instance, context.now)) {
@@ -473,6 +518,12 @@
     SchedulePush(context);
   }
   AdvancePosition(source->position, update);
+  const bool complete = update.registry_epoch() != 0 && !update.partial() &&
+                        update.registry_epoch() == source->position.epoch &&
+                        update.registry_change() <= source->position.change;
+  if (complete) {
+    source->complete_at = context.now;
+  }
   instance.settled = instance.settled || update.settled();
   RecordRulesStatus(context, from, ExtractRulesStatus(update));
   if (MayConfirm(source->position, update)) {
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -185,6 +185,12 @@
   }
 }
 
+void SetLastHeardAtLeast(Registry& registry, TimePoint heard_at) {
+  for (auto& [id, server] : registry.servers) {
+    server.heard_at = std::max(server.heard_at, heard_at);
+  }
+}
+
 void SetFailing(Registry& registry, const std::string& id, bool failing) {
   const auto server = registry.servers.find(id);
   if (server == registry.servers.end() ||
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -93,6 +93,9 @@
 /// silent mark. Ignores unknown ids.
 void UpdateLastHeard(Registry& registry, const std::string& id, TimePoint now);
 
+/// Counts each server as heard at `heard_at` unless it was heard later.
+void SetLastHeardAtLeast(Registry& registry, TimePoint heard_at);
+
 /// Marks a server as failing or clears the mark. A server is failing when too
 /// many of its flows fail. Ignores unknown ids.
 void SetFailing(Registry& registry, const std::string& id, bool failing);
--- a/Tests/Fleet/OneWayCutTest.cc
+++ b/Tests/Fleet/OneWayCutTest.cc
@@ -14,6 +14,9 @@
 constexpr Milliseconds kReportInterval{1200};
 /// The users' bounds: an acknowledged change holds everywhere after this.
 constexpr Milliseconds kApplyLimit{3000};
+/// A new server is used this long after its start at the latest, wherever it
+/// reported first.
+constexpr Milliseconds kRegistrationLimit = 5 * kReportInterval;
 /// Time after a cut after which the other control instances are in touch again.
 constexpr Milliseconds kContactTime{4000};
 constexpr Milliseconds kStep{50};
@@ -26,6 +29,7 @@
   kLeavingServerIsLeft,
   kReadyServerIsUsed,
   kChangeIsInForce,
+  kFreshInstanceKnowsWhoLeft,
 };
 
 /// A backend server that reports as the users' servers do: to where the last
@@ -59,6 +63,27 @@
                                       : next->first;
 }
 
+/// Returns whether callers must not be sent to the server any more.
+bool MustBeLeft(const OneWayCut& cut, const ReportingServer& server) {
+  return server.drain_acked_at &&
+         cut.world.now > *server.drain_acked_at + kApplyLimit;
+}
+
+/// Checks that a control instance which tells others that its state is fresh
+/// knows which servers have left.
+void CheckFresh(OneWayCut& cut, InstanceAddress sender) {
+  const Registry& registry = cut.world.controls.at(sender).registry;
+  for (const ReportingServer& server : cut.servers) {
+    const auto known = registry.servers.find(server.id);
+    if (MustBeLeft(cut, server) && known != registry.servers.end() &&
+        known->second.record.phase() == wire::SERVER_READY) {
+      RecordViolation(cut, Promise::kFreshInstanceKnowsWhoLeft,
+                      "control instance " + std::to_string(sender) +
+                          " is fresh and takes " + server.id + " for ready");
+    }
+  }
+}
+
 void ReadAnswer(FleetWorld& world, ReportingServer& server) {
   const auto answer = world.answers.find(server.call);
   const bool accepted = answer != world.answers.end() &&
@@ -92,14 +117,13 @@
 
 /// Checks that no entry instance uses a server later than `kApplyLimit` after
 /// the acknowledgement that it is draining, and that each uses a ready server
-/// from `kApplyLimit` after its start on.
+/// from `kRegistrationLimit` after its start on.
 void CheckServers(OneWayCut& cut, const std::string& when) {
   for (const ReportingServer& server : cut.servers) {
-    const bool must_be_left =
-        server.drain_acked_at &&
-        cut.world.now > *server.drain_acked_at + kApplyLimit;
-    const bool must_be_used = server.phase == wire::SERVER_READY &&
-                              cut.world.now > server.started_at + kApplyLimit;
+    const bool must_be_left = MustBeLeft(cut, server);
+    const bool must_be_used =
+        server.phase == wire::SERVER_READY &&
+        cut.world.now > server.started_at + kRegistrationLimit;
     for (const auto& [id, entry] : cut.world.entries) {
       const bool usable = IsUsableAt(cut.world, id, server.id);
       const std::string who = when + ": entry instance " + std::to_string(id);
@@ -214,6 +238,22 @@
   }
 }
 
+/// Starts an entry instance in the data centre of a control instance again and
+/// again, so that it asks the control instance what it knows.
+void RestartEntryBeside(OneWayCut& cut, InstanceAddress control) {
+  constexpr int kStarts = 10;
+  const std::string& data_centre =
+      cut.world.controls.at(control).config.data_centre;
+  InstanceAddress beside = 0;
+  for (const auto& [id, entry] : cut.world.entries) {
+    beside = entry.config.data_centre == data_centre ? id : beside;
+  }
+  for (int start = 0; start < kStarts; ++start) {
+    StartEntry(cut.world, beside);
+    Run(cut.world, 2 * kStep);
+  }
+}
+
 std::string DirectionName(Direction direction) {
   return direction == Direction::kNotHeard ? "not heard" : "deaf";
 }
@@ -222,12 +262,18 @@
                                        InstanceAddress one, Direction direction,
                                        Milliseconds length) {
   OneWayCut cut = MakeOneWayCut(controls);
+  cut.world.on_send = [&cut](InstanceAddress from, const SendMessage& effect) {
+    if (effect.message.update().fresh()) {
+      CheckFresh(cut, from);
+    }
+  };
   Cut(cut.world, one, direction);
   ReleaseServers(cut, length, "during the cut");
   if (length > kContactTime) {
     ChangeRules(cut, "during the cut");
   }
   cut.world.is_lost = [](InstanceAddress, InstanceAddress) { return false; };
+  RestartEntryBeside(cut, one);
   RunWithReports(cut, kContactTime, "after the cut");
   ChangeRules(cut, "after the cut");
   return cut.violations;
@@ -279,3 +325,17 @@
   STRCMP_EQUAL("",
                PlayCuts(Direction::kDeaf, Promise::kChangeIsInForce).c_str());
 }
+
+/// Guards against an instance that counts as fresh as soon as it is heard
+/// again, before it is told what it has missed.
+TEST(OneWayCut, InstanceThatIsHeardAgainKnowsWhoLeftBeforeItIsFresh) {
+  STRCMP_EQUAL(
+      "", PlayCuts(Direction::kNotHeard, Promise::kFreshInstanceKnowsWhoLeft)
+              .c_str());
+}
+
+TEST(OneWayCut, InstanceThatHearsAgainKnowsWhoLeftBeforeItIsFresh) {
+  STRCMP_EQUAL(
+      "",
+      PlayCuts(Direction::kDeaf, Promise::kFreshInstanceKnowsWhoLeft).c_str());
+}
