Fleet: An instance out of touch sends servers elsewhere

An instance that is out of touch for 1.5 s names the leader for the next report, or each of the others in turn if it hears no leader. It still takes the report, so that a server which reaches no other instance loses nothing.

Before: OneWayCut.InstanceThatIsNotHeardHidesNoReadyServer and InstanceThatHearsNoOtherHidesNoReadyServer failed. After: both pass, and report the fault when it is planted back.

--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include "Base/Endpoint.h"
 #include "Fleet/ControlContext.h"
@@ -10,6 +11,32 @@
 /// A report of a server that is not ready is answered only once another control
 /// instance has confirmed the record, or fails after this time.
 constexpr Milliseconds kConfirmTimeout{500};
+/// Servers are sent elsewhere once this instance is out of touch for this long.
+/// An election takes less, and the others mark a server as silent only later.
+constexpr Milliseconds kOutOfTouchLimit{1500};
+
+/// Returns where a server should report next. What an instance that is out of
+/// touch is told does not reach the others, so it names the leader if it hears
+/// one, and otherwise each of the others in turn.
+InstanceAddress NextReportAddress(const ControlContext& context,
+                                  const wire::ServerRecord& record) {
+  const ControlInstance& instance = context.instance;
+  if (context.now - instance.in_touch_until <= kOutOfTouchLimit) {
+    return instance.config.self;
+  }
+  const InstanceAddress leader = RedirectTarget(context);
+  if (leader != 0) {
+    return leader;
+  }
+  const std::set<InstanceAddress> others =
+      OtherControlInstances(instance, context.now);
+  if (others.empty()) {
+    return instance.config.self;
+  }
+  const auto turn =
+      static_cast<std::ptrdiff_t>(record.sequence() % others.size());
+  return *std::next(others.begin(), turn);
+}
 
 /// Returns how a report contradicts the server's own last report here, if that
 /// is recent. A record from another instance doesn't count: it may be another
@@ -153,7 +180,8 @@
   if (record.phase() == wire::SERVER_READY) {
     Answer(context, AnswerCall{.call = event.call,
                                .verdict = CallVerdict::kAccepted,
-                               .next_report_address = instance.config.self});
+                               .next_report_address =
+                                   NextReportAddress(context, record)});
     return;
   }
   instance.reports.push_back(
--- a/Tests/Fleet/OneWayCutTest.cc
+++ b/Tests/Fleet/OneWayCutTest.cc
@@ -339,3 +339,15 @@
       "",
       PlayCuts(Direction::kDeaf, Promise::kFreshInstanceKnowsWhoLeft).c_str());
 }
+
+/// Guards against servers that keep reporting to an instance whose word reaches
+/// nobody, and are taken for silent by the others.
+TEST(OneWayCut, InstanceThatIsNotHeardHidesNoReadyServer) {
+  STRCMP_EQUAL(
+      "", PlayCuts(Direction::kNotHeard, Promise::kReadyServerIsUsed).c_str());
+}
+
+TEST(OneWayCut, InstanceThatHearsNoOtherHidesNoReadyServer) {
+  STRCMP_EQUAL("",
+               PlayCuts(Direction::kDeaf, Promise::kReadyServerIsUsed).c_str());
+}
