--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -15,11 +15,18 @@
 /// Number of report intervals after which an instance that has just started
 /// considers its registry complete: each backend server has reported by then.
 inline constexpr int kIntervalsUntilSettled = 2;
+/// Number of report intervals without a report after which a server is silent.
+inline constexpr int kIntervalsUntilSilent = 5;
 /// Another control instance that is neither a seed nor a voter is removed from
 /// the known ones when it was not known to be running for this long.
 inline constexpr Milliseconds kSourceLifetime{5000};
 /// Maximum number of instances that are told of changes.
 inline constexpr std::size_t kMaxSubscribers = 4096;
+/// Interval between two requests to the other control instances.
+inline constexpr Milliseconds kSubscribeInterval{1000};
+/// RulesStatus of other control instances is forwarded for this long after it
+/// was received.
+inline constexpr Milliseconds kRulesStatusLifetime{1200};
 
 inline constexpr char kDiskFailedReason[] = "writes to the disk fail";
 
@@ -55,6 +62,20 @@
 /// Requests the servers of the other control instances soon if this instance is
 /// heard by a leader, but does not know the servers yet.
 void CatchUp(ControlContext& context);
+/// Updates `in_touch` and what depends on it, and logs a change.
+void UpdateInTouch(ControlContext& context);
+
+/// Returns whether the subscriber sent a request recently.
+bool IsActive(const Subscriber& subscriber, TimePoint now);
+/// Returns what this instance states about the rules that it knows.
+wire::RulesStatus BuildRulesStatus(const ControlInstance& instance);
+/// Sends an update without contents, with the rules_status of this instance and
+/// of the control instances from which it was received recently.
+void SendSummary(ControlContext& context, InstanceAddress to);
+/// Sends all changes after the subscriber's position. `position_reset` tells it
+/// to take the position of the update, even if that is lower than its own.
+void SendUpdate(ControlContext& context, InstanceAddress to,
+                Subscriber& subscriber, bool position_reset);
 
 /// Sends updates to all subscribers that lack changes.
 void PushUpdates(ControlContext& context);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -20,8 +20,6 @@
 constexpr Milliseconds kSaveInterval{1000};
 constexpr Milliseconds kLease{600};
 constexpr Milliseconds kElectionJitter{250};
-/// Number of report intervals without a report after which a server is silent.
-constexpr int kIntervalsUntilSilent = 5;
 /// Lower limit of the number of voters, also if no disk loss has to be
 /// tolerated.
 constexpr std::uint32_t kMinVoters = 3;
@@ -183,44 +181,6 @@
   context.effects.emplace_back(std::move(effect));
 }
 
-/// An instance that was out of touch can't tell which servers have reported to
-/// the others: gives them the time that they have after a start.
-void AllowTimeToReport(ControlContext& context) {
-  ControlInstance& instance = context.instance;
-  const Milliseconds interval = instance.config.announce_interval;
-  if (context.now - instance.in_touch_until > interval) {
-    SetLastHeardAtLeast(instance.registry,
-                        context.now - interval * (kIntervalsUntilSilent -
-                                                  kIntervalsUntilSettled));
-  }
-}
-
-void UpdateInTouch(ControlContext& context) {
-  ControlInstance& instance = context.instance;
-  const Replica& replica = instance.replica;
-  const bool in_touch = IsInTouch(instance, context.now);
-  if (in_touch) {
-    AllowTimeToReport(context);
-    instance.in_touch_until = context.now;
-  }
-  if (in_touch == instance.in_touch) {
-    return;
-  }
-  instance.in_touch = in_touch;
-  if (in_touch) {
-    Log(context, EventId::kInTouch, "leader=" + FormatIp(replica.leader));
-    return;
-  }
-  Log(context, EventId::kOutOfTouch,
-      "leader=" + FormatIp(replica.leader) + " heard_ms=" +
-          std::to_string(
-              MillisecondsBetween(replica.leader_heard_at, context.now)) +
-          " confirmed_ms=" +
-          std::to_string(
-              MillisecondsBetween(replica.confirmed_ack_sent_at, context.now)),
-      Severity::kWarning);
-}
-
 void HandleTick(ControlContext& context) {
   ControlInstance& instance = context.instance;
   RunReplica(context, ControlTick{});
--- a/Tests/Fleet/CrowdTest.cc
+++ b/Tests/Fleet/CrowdTest.cc
@@ -150,15 +150,6 @@
   }
 }
 
-InstanceAddress FindLeader(const SimulatedFleet& fleet) {
-  for (const auto& [id, instance] : fleet.world.controls) {
-    if (HasLease(instance.replica, fleet.world.now)) {
-      return id;
-    }
-  }
-  return 0;
-}
-
 std::size_t CountReadyEntries(const SimulatedFleet& fleet) {
   std::size_t ready = 0;
   for (const auto& [id, entry] : fleet.world.entries) {
@@ -172,7 +163,7 @@
   event.file.set_version(version);
   event.file.set_text(ManyRules(version));
   event.file.set_digest("digest" + std::to_string(version));
-  Apply(fleet.world, FindLeader(fleet), event);
+  Apply(fleet.world, FindLeader(fleet.world), event);
 }
 
 void RestartAll(SimulatedFleet& fleet) {
@@ -199,7 +190,7 @@
     }
     CountSendCost(this->fleet);
     RunFor(this->fleet, Milliseconds(3000));
-    CHECK(FindLeader(this->fleet) != 0);
+    CHECK(FindLeader(this->fleet.world) != 0);
     SubmitRules(this->fleet, 9);
     RunFor(this->fleet, Milliseconds(3000));
     LONGS_EQUAL(kEntries, CountReadyEntries(this->fleet));
@@ -209,7 +200,7 @@
 TEST(Crowd, RecoversFromAStopOfEverything) {
   RestartAll(this->fleet);
   RunFor(this->fleet, Milliseconds(2000));
-  const InstanceAddress leader = FindLeader(this->fleet);
+  const InstanceAddress leader = FindLeader(this->fleet.world);
   CHECK(leader != 0);
   LONGS_EQUAL(kEntries, CountReadyEntries(this->fleet));
   for (const auto& [id, entry] : this->fleet.world.entries) {
@@ -217,7 +208,7 @@
   }
   for (int i = 0; i < 30; ++i) {
     RunFor(this->fleet, Milliseconds(100));
-    CHECK_EQUAL(leader, FindLeader(this->fleet));
+    CHECK_EQUAL(leader, FindLeader(this->fleet.world));
   }
 }
 
--- a/Tests/Fleet/FleetTest.cc
+++ b/Tests/Fleet/FleetTest.cc
@@ -15,16 +15,6 @@
          answer->second.verdict == CallVerdict::kAccepted;
 }
 
-/// Returns the control instance that leads with a lease, or 0.
-InstanceAddress FindLeader(const FleetWorld& world) {
-  for (const auto& [id, instance] : world.controls) {
-    if (!world.down.contains(id) && HasLease(instance.replica, world.now)) {
-      return id;
-    }
-  }
-  return 0;
-}
-
 /// Returns the first control instance that does not vote, or 0.
 InstanceAddress FindStandby(const FleetWorld& world) {
   for (const auto& [id, control] : world.controls) {
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -214,6 +214,16 @@
   return world;
 }
 
+/// Returns the control instance that leads with a lease, or 0.
+inline InstanceAddress FindLeader(const FleetWorld& world) {
+  for (const auto& [id, instance] : world.controls) {
+    if (!world.down.contains(id) && HasLease(instance.replica, world.now)) {
+      return id;
+    }
+  }
+  return 0;
+}
+
 inline CallId Submit(FleetWorld& world, InstanceAddress to,
                      std::uint64_t version) {
   const CallId call = world.next_call++;
--- a/Tests/Fleet/FreshStateTest.cc
+++ b/Tests/Fleet/FreshStateTest.cc
@@ -29,16 +29,6 @@
   Lose(world, [](const wire::FleetMessage&) { return false; });
 }
 
-/// Returns the control instance that leads with a lease, or 0.
-InstanceAddress FindLeader(const FleetWorld& world) {
-  for (const auto& [id, instance] : world.controls) {
-    if (!world.down.contains(id) && HasLease(instance.replica, world.now)) {
-      return id;
-    }
-  }
-  return 0;
-}
-
 AnswerCall Read(FleetWorld& world, InstanceAddress at) {
   const CallId call = world.next_call++;
   Apply(world, at, ControlInstanceEvent(RulesRead{.call = call}));
--- a/Tests/Fleet/FullDiskTest.cc
+++ b/Tests/Fleet/FullDiskTest.cc
@@ -93,15 +93,6 @@
   caller.open.clear();
 }
 
-InstanceAddress FindLeader(const FleetWorld& world) {
-  for (const auto& [id, instance] : world.controls) {
-    if (HasLease(instance.replica, world.now)) {
-      return id;
-    }
-  }
-  return 1;
-}
-
 /// Lets each disk be full once, that of the leader first, at times with a
 /// restart meanwhile.
 void PlaySeries(FleetWorld& world, SteadyOperator& caller,
@@ -109,7 +100,8 @@
   const auto below = [&](std::uint64_t limit) { return random() % limit; };
   const Milliseconds full(300 + below(5700));
   const Milliseconds gap(below(3) == 0 ? below(4000) : 0);
-  std::vector<InstanceAddress> order = {FindLeader(world)};
+  const InstanceAddress leader = FindLeader(world);
+  std::vector<InstanceAddress> order = {leader == 0 ? 1 : leader};
   for (const auto& [id, instance] : world.controls) {
     if (id != order.front()) {
       order.push_back(id);
