Control: Count only times that can have been returned; Tests: Networks of their own

A leader kept the highest send time of a follower's acknowledgements. After a restart of the follower's machine its clock states earlier times, so none would have been confirmed, and the follower would not have counted as heard until the next election; found by reading. The latest one counts now. A returned time that is negative or later than now counts for nothing; before, one out of range was converted with an overflow. Both have a test in FleetReplica; the first is a copy of a message, as no simulated clock starts anew.

A test now reserves its network with a socket that it holds until it ends.

--- a/Source/Control/ReplicaContext.cc
+++ b/Source/Control/ReplicaContext.cc
@@ -1,7 +1,5 @@
 #include "Control/ReplicaContext.h"
 
-#include <algorithm>
-
 #include "Base/Hash.h"
 
 namespace filbertwall {
@@ -36,6 +34,14 @@
       .count();
 }
 
+std::optional<TimePoint> ReturnedTime(const ReplicaContext& context,
+                                      std::int64_t microseconds) {
+  if (microseconds < 0 || microseconds > ClockMicroseconds(context)) {
+    return std::nullopt;
+  }
+  return TimePoint(Microseconds(microseconds));
+}
+
 void SendHeartbeat(ReplicaContext& context, std::uint32_t to) {
   const Replica& replica = context.replica;
   wire::ControlMessage message;
@@ -68,10 +74,11 @@
 
 void RecordAck(ReplicaContext& context, std::uint32_t from,
                const wire::HeartbeatAck& ack) {
-  const Microseconds sent(ack.sent_us());
-  const auto [latest, is_first] =
-      context.replica.last_ack_sent.try_emplace(from, sent);
-  latest->second = std::max(latest->second, sent);
+  // The latest one counts, also if it states an earlier time: the clock of its
+  // sender starts anew when the machine does.
+  const bool is_first = context.replica.last_ack_sent
+                            .insert_or_assign(from, Microseconds(ack.sent_us()))
+                            .second;
   if (is_first) {
     SendHeartbeat(context, from);
   }
--- a/Source/Control/ReplicaContext.h
+++ b/Source/Control/ReplicaContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "Control/Replica.h"
@@ -37,6 +38,10 @@
                const wire::HeartbeatAck& ack);
 /// Returns the time of the event as messages state it.
 std::int64_t ClockMicroseconds(const ReplicaContext& context);
+/// Returns a time of this replica's clock that a message has returned, or
+/// nothing if it cannot be one: it is negative or later than now.
+std::optional<TimePoint> ReturnedTime(const ReplicaContext& context,
+                                      std::int64_t microseconds);
 
 /// Sets the promised ballot and writes it to the log.
 void PersistPromise(ReplicaContext& context, const wire::Ballot& ballot);
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -249,10 +249,9 @@
   replica.leader_newest_seq =
       std::max({replica.leader_newest_seq, heartbeat.committed_seq(),
                 heartbeat.inherited_seq()});
-  const TimePoint confirmed{Microseconds(heartbeat.echoed_us())};
-  if (confirmed <= context.now) {
+  if (const auto sent = ReturnedTime(context, heartbeat.echoed_us())) {
     replica.confirmed_ack_sent_at =
-        std::max(replica.confirmed_ack_sent_at, confirmed);
+        std::max(replica.confirmed_ack_sent_at, *sent);
   }
   *ack.mutable_ballot() = heartbeat.ballot();
   ack.set_committed_seq(replica.committed.seq());
@@ -269,9 +268,10 @@
       CompareBallots(ack.ballot(), replica.ballot) != 0) {
     return;
   }
-  const TimePoint sent{Microseconds(ack.echoed_us())};
-  TimePoint& latest = replica.last_acked_send[from];
-  latest = std::max(latest, std::min(sent, context.now));
+  if (const auto sent = ReturnedTime(context, ack.echoed_us())) {
+    TimePoint& latest = replica.last_acked_send[from];
+    latest = std::max(latest, *sent);
+  }
   RecordAck(context, from, ack);
   if (ack.committed_seq() < replica.committed.seq()) {
     SendInstall(context, from);
--- a/Tests/Control/FleetReplicaTest.cc
+++ b/Tests/Control/FleetReplicaTest.cc
@@ -176,6 +176,46 @@
   CHECK_FALSE(HasFreshState(replica, group.now + Milliseconds(600), kLimit));
 }
 
+/// Guards against a follower that counts as unheard for good once its machine
+/// has started again and its clock states earlier times than before.
+TEST(FleetReplica, FollowerWhoseClockStartsAnewIsHeardAgain) {
+  ReplicaGroup group = MakeFleet(6, kFounders, kFounders);
+  Settle(group);
+  const std::uint32_t leader = FindLeader(group);
+  const std::uint32_t follower = leader == 2 ? 3 : 2;
+  constexpr Milliseconds kLimit{1000};
+  wire::ControlMessage message;
+  message.set_cluster(group.replicas.at(leader).committed.cluster());
+  message.set_incarnation(group.replicas.at(follower).incarnation);
+  wire::HeartbeatAck& ack = *message.mutable_heartbeat_ack();
+  *ack.mutable_ballot() = group.replicas.at(leader).ballot;
+  ack.set_sent_us(INT64_MAX);
+  Apply(group, leader, ControlReceived{.from = follower, .message = message});
+  RunFor(group, Milliseconds(2000));
+  CHECK(IsHeardByLeader(group.replicas.at(follower), group.now, kLimit));
+}
+
+/// Guards against times out of range in messages of other instances.
+TEST(FleetReplica, TimesThatCannotBeReturnedOnesCountForNothing) {
+  ReplicaGroup group = MakeFleet(6, kFounders, kFounders);
+  Settle(group);
+  const std::uint32_t leader = FindLeader(group);
+  const std::uint32_t follower = leader == 2 ? 3 : 2;
+  const std::uint32_t other = 6 - leader - follower;
+  group.stopped_instances = {follower, other};
+  for (const std::int64_t microseconds : {INT64_MAX, INT64_MIN, -1L}) {
+    wire::ControlMessage message;
+    message.set_cluster(group.replicas.at(leader).committed.cluster());
+    message.set_incarnation(group.replicas.at(follower).incarnation);
+    wire::HeartbeatAck& ack = *message.mutable_heartbeat_ack();
+    *ack.mutable_ballot() = group.replicas.at(leader).ballot;
+    ack.set_echoed_us(microseconds);
+    RunFor(group, Milliseconds(200));
+    Apply(group, leader, ControlReceived{.from = follower, .message = message});
+  }
+  CHECK_FALSE(HasLease(group.replicas.at(leader), group.now));
+}
+
 TEST(FleetReplica, RandomHistoriesWithReplacementsKeepAcceptedFiles) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     STRCMP_EQUAL("", RunRandomFleetHistory(seed).c_str());
--- a/Tests/Soak/fleet_processes.py
+++ b/Tests/Soak/fleet_processes.py
@@ -22,8 +22,30 @@
 READY_PORT = 8167
 PACKET_PORT = 8172
 METRICS_PORT = 9464
+RESERVATION_PORT = 7719   # held by the test that uses a network
+FIRST_NETWORK, NETWORKS = 20, 234
 FULL_DISK_BYTES = 16  # the size of files on a full disk
 
+reservations = []  # sockets, until this process ends
+
+
+def reserve_network(preferred):
+    """Returns the first network from 127.PREFERRED on that no other test uses.
+
+    It is reserved until this process ends.
+    """
+    for i in range(NETWORKS):
+        number = FIRST_NETWORK + (preferred - FIRST_NETWORK + i) % NETWORKS
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind(("127.%d.0.1" % number, RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        reservations.append(reservation)
+        return "127.%d" % number
+    raise RuntimeError("no network on loopback is free")
+
 
 class DatagramProxy(threading.Thread):
     """Forwards messages between instances and can drop or delay them per direction.
--- a/Tests/Soak/fleet_soak.py
+++ b/Tests/Soak/fleet_soak.py
@@ -43,7 +43,7 @@
         self.fault_of_controls = (self.fill_disks_in_series if only_disks
                                   else self.fault_of_control)
         self.folder = tempfile.mkdtemp(prefix="fleet-soak-")
-        network = "127.%d" % (20 + seed % 200)
+        network = fleet_processes.reserve_network(20 + seed % 200)
         self.fleet = fleet_processes.Fleet(network, self.folder, seed, controls,
                                            entries)
         self.relay = relay.Relay()
--- a/Tests/System/disks_test.py
+++ b/Tests/System/disks_test.py
@@ -34,7 +34,8 @@
 
 class DisksFleet(SmallFleet):
     def __init__(self, folder, number, controls):
-        network = "127.%d" % (100 + (os.getpid() * 4 + number) % 120)
+        network = fleet_processes.reserve_network(
+            100 + (os.getpid() * 4 + number) % 120)
         self.fleet = fleet_processes.Fleet(network, folder, number, controls, 1)
         self.controls, self.entry = self.fleet.controls, self.fleet.entries[0]
         self.version = 0
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -41,7 +41,7 @@
 class SmallFleet:
     def __init__(self, folder, controls=3, descriptors=None):
         own = os.getpid()
-        network = "127.%d" % (224 + own % 30)
+        network = fleet_processes.reserve_network(224 + own % 30)
         self.fleet = fleet_processes.Fleet(network, folder, own, controls, 1)
         self.controls, self.entry = self.fleet.controls, self.fleet.entries[0]
         self.version = 0
