Tests: The soak of two builds starts again

mixed_fleet ended with a TypeError since the soak got an argument for series of full disks; it runs by hand only, so nothing showed it.

--- a/Tests/System/builds_test.py
+++ b/Tests/System/builds_test.py
@@ -170,7 +170,7 @@
 
     fleet_processes.Process.start = start_alternating
     try:
-        soak = fleet_soak.Soak(SOAK_SEED, SOAK_S, 4, 4)
+        soak = fleet_soak.Soak(SOAK_SEED, SOAK_S, 4, 4, only_disks=False)
         try:
             soak.run()
         finally:
