Tests: Count a server as acknowledged only for what it reported

OneWayCut took the answer to a server's last ready report for the acknowledgement that it is draining, if it had just begun to leave. The check was stricter than the promise; it now goes by the report that was answered.

--- a/Tests/Fleet/OneWayCutTest.cc
+++ b/Tests/Fleet/OneWayCutTest.cc
@@ -1,5 +1,3 @@
-#include <memory>
-
 #include "FleetWorld.h"
 
 #include <CppUTest/TestHarness.h>
@@ -39,7 +37,8 @@
   InstanceAddress reports_to = 0;
   std::uint64_t sequence = 0;
   wire::ServerPhase phase = wire::SERVER_READY;
-  CallId call = 0;
+  CallId call = 0;                                  ///< The latest report.
+  wire::ServerPhase reported = wire::SERVER_READY;  ///< What it said.
   TimePoint started_at;
   TimePoint next_report_at;
   std::optional<TimePoint> drain_acked_at;
@@ -84,16 +83,20 @@
   }
 }
 
-void ReadAnswer(FleetWorld& world, ReportingServer& server) {
+/// Returns the answer to the latest report if it was accepted, else null.
+const AnswerCall* FindAcceptance(const FleetWorld& world,
+                                 const ReportingServer& server) {
   const auto answer = world.answers.find(server.call);
   const bool accepted = answer != world.answers.end() &&
                         answer->second.verdict == CallVerdict::kAccepted;
-  if (accepted && server.phase == wire::SERVER_DRAINING &&
-      !server.drain_acked_at) {
+  return accepted ? &answer->second : nullptr;
+}
+
+void NoteAcknowledgement(const FleetWorld& world, ReportingServer& server) {
+  if (server.reported == wire::SERVER_DRAINING && !server.drain_acked_at &&
+      FindAcceptance(world, server) != nullptr) {
     server.drain_acked_at = world.now;
   }
-  server.reports_to = accepted ? answer->second.next_report_address
-                               : NextControl(world, server.reports_to);
 }
 
 void ReportDue(OneWayCut& cut) {
@@ -103,8 +106,12 @@
       continue;
     }
     if (server.call != 0) {
-      ReadAnswer(world, server);
+      const AnswerCall* acceptance = FindAcceptance(world, server);
+      server.reports_to = acceptance != nullptr
+                              ? acceptance->next_report_address
+                              : NextControl(world, server.reports_to);
     }
+    server.reported = server.phase;
     server.call = Report(world, server.reports_to, server.id, ++server.sequence,
                          server.phase);
     // A server that leaves repeats itself sooner until it is answered.
@@ -145,13 +152,7 @@
     ReportDue(cut);
     Run(cut.world, kStep);
     for (ReportingServer& server : cut.servers) {
-      const auto answer = cut.world.answers.find(server.call);
-      const bool acked = answer != cut.world.answers.end() &&
-                         answer->second.verdict == CallVerdict::kAccepted &&
-                         server.phase == wire::SERVER_DRAINING;
-      if (acked && !server.drain_acked_at) {
-        server.drain_acked_at = cut.world.now;
-      }
+      NoteAcknowledgement(cut.world, server);
     }
     CheckServers(cut, when);
   }
