--- a/Tests/Fleet/CrowdTest.cc
+++ b/Tests/Fleet/CrowdTest.cc
@@ -81,13 +81,13 @@
     }
     fleet.spent_us = 0;
     for (int i = 0; i < kReceiveBatch && !loop.inbox.empty(); ++i) {
-      const FleetWorld::InFlightMessage in_flight =
-          std::move(loop.inbox.front());
+      FleetWorld::InFlightMessage in_flight = std::move(loop.inbox.front());
       loop.inbox.pop_front();
       fleet.spent_us += kReceiveUs;
       Apply(fleet.world, id,
-            ControlInstanceEvent(PeerMessage{
-                .from = in_flight.from, .message = in_flight.message.message}));
+            ControlInstanceEvent(
+                PeerMessage{.from = in_flight.from,
+                            .message = std::move(in_flight.message.message)}));
     }
     if (fleet.world.now >= NextDue(instance)) {
       fleet.spent_us += kReceiveUs;
@@ -109,8 +109,9 @@
       }
     } else if (fleet.world.entries.contains(to)) {
       Apply(fleet.world, to,
-            EntryEvent(PeerMessage{.from = in_flight.from,
-                                   .message = in_flight.message.message}));
+            EntryEvent(
+                PeerMessage{.from = in_flight.from,
+                            .message = std::move(in_flight.message.message)}));
     }
   }
 }
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -161,17 +161,17 @@
   while (!world.messages_in_flight.empty()) {
     std::vector<FleetWorld::InFlightMessage> delivered;
     delivered.swap(world.messages_in_flight);
-    for (const FleetWorld::InFlightMessage& item : delivered) {
+    for (FleetWorld::InFlightMessage& item : delivered) {
       const InstanceAddress to = item.message.to;
-      const PeerMessage message{.from = item.from,
-                                .message = item.message.message};
       if (world.down.contains(to)) {
         continue;
       }
+      PeerMessage message{.from = item.from,
+                          .message = std::move(item.message.message)};
       if (world.controls.contains(to)) {
-        Apply(world, to, ControlInstanceEvent(message));
+        Apply(world, to, ControlInstanceEvent(std::move(message)));
       } else if (world.entries.contains(to)) {
-        Apply(world, to, EntryEvent(message));
+        Apply(world, to, EntryEvent(std::move(message)));
       }
     }
   }
