Rules: Keep the flows of a route in its regions

Customers may require that requests of a route reach only backend servers in some regions; nothing in the product knew regions. A route takes regions=, the config's AllowedRegions; [fleet] regions says in which region a data centre is. Placement leaves all other servers out, also failing ones that get trial flows, and a flow without a server is reset with its own reason. A file that names an unknown region is refused, a committed one never. Routes without regions take no byte more, and the choice is as before.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -42,6 +42,7 @@
   kFlowPlaced = 6001,
   kFlowRefused = 6002,
   kPacketDropped = 6003,
+  kUnknownRegion = 6016,
 };
 
 enum class Severity { kInfo, kWarning, kError };
--- a/Source/Base/Text.cc
+++ b/Source/Base/Text.cc
@@ -5,6 +5,20 @@
 #include <charconv>
 
 namespace filbertwall {
+namespace {
+
+std::optional<unsigned> ParseHexDigit(char digit) {
+  constexpr unsigned kTen = 10;
+  if (digit >= '0' && digit <= '9') {
+    return static_cast<unsigned>(digit - '0');
+  }
+  if (digit >= 'A' && digit <= 'F') {
+    return static_cast<unsigned>(digit - 'A') + kTen;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
 
 std::optional<std::uint64_t> ParseNumber(std::string_view text,
                                          std::uint64_t min, std::uint64_t max) {
@@ -72,6 +86,22 @@
   return text.substr(start, text.find_last_not_of(kWhitespace) - start + 1);
 }
 
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool encoded = text[i] == '%' && i + 2 < text.size();
+    const auto high = encoded ? ParseHexDigit(text[i + 1]) : std::nullopt;
+    const auto low = encoded ? ParseHexDigit(text[i + 2]) : std::nullopt;
+    if (high && low) {
+      decoded += static_cast<char>(*high << 4U | *low);
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
          strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/Source/Base/Text.h
+++ b/Source/Base/Text.h
@@ -29,6 +29,10 @@
 /// Removes spaces, tabs and line breaks from both ends.
 std::string_view Trim(std::string_view text);
 
+/// Replaces each percent sign that two upper-case hexadecimal digits follow by
+/// the byte that they name (RFC 3986). Any other percent sign is kept.
+std::string PercentDecode(std::string_view text);
+
 /// Compares two texts, ignoring ASCII case.
 bool EqualsIgnoringCase(std::string_view left, std::string_view right);
 
--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -175,6 +175,11 @@
   if (route.shares().empty()) {
     return InputError::kMissingField;
   }
+  for (const std::string& region : route.regions()) {
+    if (const auto error = CheckName(region)) {
+      return error;
+    }
+  }
   return total_weight > 0 ? std::nullopt
                           : std::optional(InputError::kOutOfRange);
 }
--- a/Source/Distribution/RouteHistory.cc
+++ b/Source/Distribution/RouteHistory.cc
@@ -35,6 +35,9 @@
   route.set_objective_ms(
       static_cast<std::uint32_t>(rule.route_settings.objective.count()));
   route.set_priority(rule.route_settings.priority);
+  for (const std::string& region : rule.route_settings.regions) {
+    route.add_regions(region);
+  }
   return route;
 }
 
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -455,7 +455,8 @@
   instance.probe_interval = kMinProbeInterval;
   instance.contents_request_interval = kMinContentsRequestInterval;
   instance.forwarder.placement.config = {.data_centre = config.data_centre,
-                                         .seed = config.incarnation};
+                                         .seed = config.incarnation,
+                                         .regions = config.regions};
   instance.forwarder.refuses_overload = config.refuse_overload;
   return instance;
 }
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -32,7 +33,8 @@
   Milliseconds announce_interval{1000};
   /// Whether new flows are refused when their answer would come too late.
   bool refuse_overload = true;
-  std::uint64_t incarnation = 0;  ///< Differs at each start.
+  std::map<std::string, std::string> regions;  ///< By data centre.
+  std::uint64_t incarnation = 0;               ///< Differs at each start.
 };
 
 /// A message received from another instance.
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -102,6 +102,8 @@
              "no_route");
   AddCounter(samples, "packets_total", packets_help, counters.no_server,
              "no_server");
+  AddCounter(samples, "packets_total", packets_help,
+             counters.no_server_in_region, "no_server_in_region");
   AddCounter(samples, "packets_total", packets_help, counters.overload,
              "overload");
   AddCounter(samples, "packets_total", packets_help, counters.unknown_token,
--- a/Source/Fleet/Submissions.cc
+++ b/Source/Fleet/Submissions.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
+
 #include "Fleet/ControlContext.h"
+#include "Rules/RulesParser.h"
 
 /// Handles submissions and reads of the rules file.
 namespace filbertwall {
@@ -56,11 +59,62 @@
   return true;
 }
 
+/// Returns a region that a route names, but the settings of this instance do
+/// not; empty when there is none. Without settings, any region may exist.
+std::string FindUnknownRegion(const FleetConfig& config,
+                              const wire::RulesFile& file) {
+  if (config.regions.empty() ||
+      file.text().find(" regions=") == std::string::npos) {
+    return "";
+  }
+  std::set<std::string> known;
+  for (const auto& [data_centre, region] : config.regions) {
+    known.insert(region);
+  }
+  const Rules rules = ParseRules(file.text(), "rules").rules;
+  for (const auto& [address, rule] : rules.addresses) {
+    const auto& regions = rule.route_settings.regions;
+    const auto unknown = std::find_if_not(
+        regions.begin(), regions.end(),
+        [&](const std::string& name) { return known.contains(name); });
+    if (unknown != regions.end()) {
+      return *unknown;
+    }
+  }
+  return "";
+}
+
+/// Answers a file that names an unknown region. Returns whether it did. A
+/// version that is committed already is accepted again.
+bool RefuseUnknownRegion(ControlContext& context, const RulesSubmitted& event) {
+  if (IsAlreadyCommitted(context, event.file)) {
+    return false;
+  }
+  const std::string region =
+      FindUnknownRegion(context.instance.config, event.file);
+  if (region.empty()) {
+    return false;
+  }
+  const std::string reason =
+      "regions: expected regions of known data centres, not \"" +
+      Excerpt(region) + "\"";
+  Log(context, EventId::kUnknownRegion,
+      "version=" + std::to_string(event.file.version()) + " " + reason,
+      Severity::kWarning);
+  Answer(context, AnswerCall{.call = event.call,
+                             .verdict = CallVerdict::kRefused,
+                             .reason = reason});
+  return true;
+}
+
 }  // namespace
 
 void HandleSubmitted(ControlContext& context, const RulesSubmitted& event) {
   ControlInstance& instance = context.instance;
   instance.counters.submissions += 1;
+  if (RefuseUnknownRegion(context, event)) {
+    return;
+  }
   if (TrySubmission(context, event.call, event.file)) {
     return;
   }
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -141,6 +141,18 @@
   }
 }
 
+/// Returns the decision on a flow for which no server can be chosen.
+Decision RefuseWithoutServer(Forwarder& forwarder,
+                             const PlacementRequest& flow) {
+  const bool elsewhere =
+      !flow.regions.empty() &&
+      !forwarder.placement.usable_by_service[flow.service].empty();
+  (elsewhere ? forwarder.counters.no_server_in_region
+             : forwarder.counters.no_server) += 1;
+  return Reset(elsewhere ? ForwardReason::kNoServerInRegion
+                         : ForwardReason::kNoServer);
+}
+
 Decision HandleOpening(Forwarder& forwarder, const FlowPacket& packet,
                        TimePoint now) {
   const auto route = forwarder.routes.routes.find(KeyOf(packet.key.address));
@@ -187,11 +199,11 @@
   const PlacementRequest flow{
       .service = service,
       .unanswered_server = unanswered_server,
-      .retryable = route->second.kind != wire::REQUEST_UNSAFE};
+      .retryable = route->second.kind != wire::REQUEST_UNSAFE,
+      .regions = route->second.regions};
   const auto server = ChooseServer(forwarder.placement, flow, now);
   if (!server) {
-    forwarder.counters.no_server += 1;
-    return Reset(ForwardReason::kNoServer);
+    return RefuseWithoutServer(forwarder, flow);
   }
   TrackFlow(forwarder, packet, *server, route->second, late, now);
   forwarder.counters.placed += 1;
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -36,17 +36,18 @@
 
 /// Why a packet was forwarded, dropped or reset.
 enum class ForwardReason {
-  kToken,         ///< Forwarded by its token.
-  kPlaced,        ///< A new flow was placed.
-  kPlacedAgain,   ///< Placed again: the first server did not answer.
-  kNoRoute,       ///< No route for the address.
-  kRouteDropped,  ///< The route of the address was removed.
-  kUnknownToken,  ///< No known server has this token.
-  kNoServer,      ///< The service has no usable server.
-  kOverload,      ///< The answer would miss the latency objective.
-  kLate,          ///< The answer will be late anyway; see `LateOpenings.h`.
-  kNotServing,    ///< This instance has not loaded the newest rules yet.
-  kStale,         ///< See `Forwarder::discard_openings_until`.
+  kToken,             ///< Forwarded by its token.
+  kPlaced,            ///< A new flow was placed.
+  kPlacedAgain,       ///< Placed again: the first server did not answer.
+  kNoRoute,           ///< No route for the address.
+  kRouteDropped,      ///< The route of the address was removed.
+  kUnknownToken,      ///< No known server has this token.
+  kNoServer,          ///< The service has no usable server.
+  kNoServerInRegion,  ///< Nor has it one in the regions of the route.
+  kOverload,          ///< The answer would miss the latency objective.
+  kLate,              ///< The answer will be late anyway; see `LateOpenings.h`.
+  kNotServing,        ///< This instance has not loaded the newest rules yet.
+  kStale,             ///< See `Forwarder::discard_openings_until`.
 };
 
 struct Decision {
@@ -89,6 +90,7 @@
   std::uint64_t no_route = 0;
   std::uint64_t unknown_token = 0;
   std::uint64_t no_server = 0;
+  std::uint64_t no_server_in_region = 0;
   std::uint64_t overload = 0;
   std::uint64_t expired = 0;  ///< Flows removed at `expires_at`.
 };
--- a/Source/Forwarding/RouteTable.cc
+++ b/Source/Forwarding/RouteTable.cc
@@ -7,7 +7,8 @@
   RouteEntry entry{.kind = route.kind(),
                    .timeout = Milliseconds(route.timeout_ms()),
                    .objective = Milliseconds(route.objective_ms()),
-                   .priority = route.priority()};
+                   .priority = route.priority(),
+                   .regions = {route.regions().begin(), route.regions().end()}};
   for (const wire::RouteShare& share : route.shares()) {
     if (share.weight() > 0) {
       entry.shares.push_back(
--- a/Source/Forwarding/RouteTable.h
+++ b/Source/Forwarding/RouteTable.h
@@ -33,6 +33,8 @@
   Milliseconds timeout{0};                        ///< Request timeout.
   Milliseconds objective{0};  ///< Latency objective; 0: none.
   std::uint32_t priority = 0;
+  /// Regions of the servers that may be used; empty: all.
+  std::vector<std::string> regions;
 };
 
 struct RouteTable {
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -93,11 +93,24 @@
   const auto index =
       static_cast<std::uint32_t>(found - placement.data_centres.begin());
   if (found == placement.data_centres.end()) {
-    placement.data_centres.push_back(PlacedDataCentre{.name = name});
+    const auto region = placement.config.regions.find(name);
+    placement.data_centres.push_back(PlacedDataCentre{
+        .name = name,
+        .region =
+            region == placement.config.regions.end() ? "" : region->second});
   }
   return index;
 }
 
+/// Returns whether the route of the flow allows servers of the data centre.
+bool IsAllowed(const PlacementRequest& flow,
+               const PlacedDataCentre& data_centre) {
+  return flow.regions.empty() ||
+         (!data_centre.region.empty() &&
+          std::find(flow.regions.begin(), flow.regions.end(),
+                    data_centre.region) != flow.regions.end());
+}
+
 /// Returns a failing server for a small random share of the flows whose
 /// requests may be retried, and otherwise no server. Each failing server gets
 /// one in `kFlowsPerProbe` of the flows that it would get if it were not
@@ -115,11 +128,14 @@
   const std::uint64_t draw =
       MixHash(placement.config.seed, placement.draw_count++) %
       (kFlowsPerProbe * usable);
-  if (draw >= failing.size() ||
-      IsAvoided(placement.servers[failing[draw]], now)) {
+  if (draw >= failing.size()) {
     return std::nullopt;
   }
-  return failing[draw];
+  const PlacedServer& server = placement.servers[failing[draw]];
+  const bool may_probe =
+      !IsAvoided(server, now) &&
+      IsAllowed(flow, placement.data_centres[server.data_centre]);
+  return may_probe ? std::optional(failing[draw]) : std::nullopt;
 }
 
 bool SeemsUnreachable(const PlacedDataCentre& data_centre) {
@@ -269,6 +285,9 @@
     const PlacedServer& server = placement.servers[index];
     const PlacedDataCentre& data_centre =
         placement.data_centres[server.data_centre];
+    if (!IsAllowed(flow, data_centre)) {
+      continue;
+    }
     const double cost =
         CostOf(placement, server, now) +
         (IsAvoided(server, now) ? kAvoidedCost : 0) +
@@ -280,6 +299,9 @@
       best_cost = cost;
     }
   }
+  if (!best) {
+    return std::nullopt;
+  }
   PlacedDataCentre& chosen =
       placement.data_centres[placement.servers[*best].data_centre];
   if (SeemsUnreachable(chosen)) {
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +64,7 @@
 /// The state of a data centre at one entry instance.
 struct PlacedDataCentre {
   std::string name;
+  std::string region;  ///< Empty: in none.
   /// Unanswered opening packets to its servers since one of them last accepted
   /// a flow.
   std::uint32_t consecutive_unanswered = 0;
@@ -72,6 +75,7 @@
 struct PlacementConfig {
   std::string data_centre;  ///< Of this instance.
   std::uint64_t seed = 0;   ///< Must differ between instances.
+  std::map<std::string, std::string> regions;  ///< By data centre.
 };
 
 struct Placement {
@@ -119,12 +123,15 @@
   /// The server that did not answer the flow's previous opening packet.
   std::optional<ServerIndex> unanswered_server;
   bool retryable = false;  ///< The caller may retry the request.
+  /// Regions of the servers that may be chosen; empty: all. Refers to the
+  /// route.
+  std::span<const std::string> regions;
 };
 
 /// Returns the server for a new flow; empty when the service has no usable
-/// server. `flow.except` is chosen only when all other servers are avoided. A
-/// failing server still gets a few flows whose requests may be retried, so that
-/// its recovery can be detected.
+/// server in the regions of the flow. `flow.except` is chosen only when all
+/// other servers are avoided. A failing server still gets a few flows whose
+/// requests may be retried, so that its recovery can be detected.
 std::optional<ServerIndex> ChooseServer(Placement& placement,
                                         const PlacementRequest& flow,
                                         TimePoint now);
--- a/Source/Rules/Explain.cc
+++ b/Source/Rules/Explain.cc
@@ -18,9 +18,13 @@
     return {.text = text + ": no address line names it\n"};
   }
   const ServiceRule& service = rules.services.at(address->second.service);
+  std::string regions;
+  for (const std::string& name : address->second.route_settings.regions) {
+    regions += (regions.empty() ? " in regions " : ", ") + name;
+  }
   return {.found = true,
-          .text = "address " + text + " -> service " + service.name + ": " +
-                  FormatOrigin(address->second.origin) + "service " +
+          .text = "address " + text + " -> service " + service.name + regions +
+                  ": " + FormatOrigin(address->second.origin) + "service " +
                   service.name + ": " + FormatOrigin(service.origin)};
 }
 
--- a/Source/Rules/Rules.h
+++ b/Source/Rules/Rules.h
@@ -69,6 +69,9 @@
   Milliseconds objective{0};   ///< Latency objective; 0: none.
   std::uint32_t priority = 0;  ///< 0 is the highest.
   std::uint32_t attempts = 1;
+  /// Regions of the backend servers that may be used; empty: all. Applied in a
+  /// fleet only.
+  std::vector<std::string> regions;
   bool operator==(const RouteSettings&) const = default;
 };
 
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -223,11 +223,32 @@
   rule.service = rule.shares.front().service;
 }
 
+/// Reads names separated by commas. In a name, a comma and other reserved
+/// characters are percent-encoded.
+void ReadRegionsOption(Parser& parser, const Options& options,
+                       std::vector<std::string>& target) {
+  constexpr std::size_t kMaxRegions = 32;
+  const auto option = options.find("regions");
+  if (option == options.end()) {
+    return;
+  }
+  for (const std::string& word : SplitAt(option->second, ',')) {
+    target.push_back(PercentDecode(word));
+  }
+  const bool unnamed =
+      std::any_of(target.begin(), target.end(),
+                  [](const std::string& name) { return name.empty(); });
+  if (unnamed || target.size() > kMaxRegions) {
+    Report(parser, "regions=" + option->second,
+           "1 to 32 names, separated by commas");
+  }
+}
+
 void ParseRouteSettings(Parser& parser, const std::vector<std::string>& words,
                         RouteSettings& route_settings) {
-  const Options options = ParseOptions(
-      parser, words, 3,
-      {"name", "kind", "timeout", "objective", "priority", "attempts"});
+  const Options options = ParseOptions(parser, words, 3,
+                                       {"name", "kind", "timeout", "objective",
+                                        "priority", "attempts", "regions"});
   ReadTextOption(options, "name", route_settings.name);
   ReadChoiceOption<RouteKind>(parser, options, "kind",
                               {{"unsafe", RouteKind::kUnsafe},
@@ -242,6 +263,7 @@
                    route_settings.priority);
   ReadNumberOption(parser, options, "attempts", 0, kMaxNumber,
                    route_settings.attempts);
+  ReadRegionsOption(parser, options, route_settings.regions);
 }
 
 void ParseBounds(Parser& parser, const std::vector<std::string>& words) {
@@ -267,7 +289,8 @@
   if (!HasMinWords(
           parser, words, 3,
           "address IP:PORT SERVICE[=WEIGHT][,SERVICE[=WEIGHT]] [name=] "
-          "[kind=] [timeout=] [objective=] [priority=] [attempts=]")) {
+          "[kind=] [timeout=] [objective=] [priority=] [attempts=] "
+          "[regions=]")) {
     return;
   }
   AddressRule rule{.origin = parser.origin};
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -80,6 +80,9 @@
 std::optional<std::string> ValueOf(std::string_view line) {
   const std::string_view value =
       Trim(line.substr(line.find_first_of("=:") + 1));
+  if (value.starts_with('{')) {
+    return std::string(value);  // A JSON object, which may hold any character.
+  }
   if (!value.starts_with('"')) {
     return std::string(WithoutComment(value));
   }
@@ -233,6 +236,26 @@
   };
 }
 
+/// Accepts a JSON object that names the region of each data centre.
+Setter RegionsSetter(std::map<std::string, std::string>& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    const auto table = nlohmann::json::parse(value, nullptr, false);
+    const bool valid =
+        table.is_object() &&
+        std::all_of(table.begin(), table.end(), [](const auto& region) {
+          return region.is_string() &&
+                 region.template get_ref<const std::string&>().size() <=
+                     kMaxNameBytes;
+        });
+    if (!valid) {
+      Report(parser, value,
+             "a JSON object such as {\"data centre\":\"region\"}");
+      return;
+    }
+    target = table.get<std::map<std::string, std::string>>();
+  };
+}
+
 using Setters = std::map<std::string, Setter>;
 
 Setters FleetSetters(FleetSettings& fleet) {
@@ -242,7 +265,8 @@
           {"announce_interval", DurationSetter(fleet.announce_interval)},
           {"metrics_port", PortSetter(fleet.metrics_port)},
           {"refuse_overload", BooleanSetter(fleet.refuse_overload)},
-          {"peer_port", PortSetter(fleet.peer_port)}};
+          {"peer_port", PortSetter(fleet.peer_port)},
+          {"regions", RegionsSetter(fleet.regions)}};
 }
 
 Setters InstanceSetters(Settings& settings) {
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -46,6 +46,8 @@
   /// Port at which the other instances receive messages; 0: the port of
   /// control_address.
   std::uint16_t peer_port = 0;
+  /// Region of each data centre.
+  std::map<std::string, std::string> regions;
 };
 
 struct Settings {
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -35,6 +35,8 @@
       return "route-dropped";
     case ForwardReason::kUnknownToken:
       return "unknown-token";
+    case ForwardReason::kNoServerInRegion:
+      return "no-server-in-region";
     case ForwardReason::kNoServer:
       return "no-server";
     case ForwardReason::kOverload:
@@ -390,6 +392,7 @@
                      .tolerated_losses = settings.fleet.tolerated_losses,
                      .announce_interval = settings.fleet.announce_interval,
                      .refuse_overload = settings.fleet.refuse_overload,
+                     .regions = settings.fleet.regions,
                      .incarnation = incarnation};
   for (const Endpoint& seed : settings.fleet.seeds) {
     config.seeds.insert(seed.ip);
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -243,3 +243,34 @@
   this->Add(record);
   STRCMP_EQUAL("a1", this->Choose().c_str());
 }
+
+// Guards against flows that leave the regions of their route, also when the
+// servers there are avoided, failing or gone.
+TEST(Placement, ChoosesOnlyServersInTheRegionsOfTheRoute) {
+  this->placement.config.regions = {{"here", "north"}, {"there", "south"}};
+  this->Add(MakeRecord("a1", 1, "here"));
+  this->Add(MakeRecord("b2", 2, "there"));
+  this->Add(MakeRecord("c3", 3, "in no region"));
+  const std::vector<std::string> south = {"south"};
+  const PlacementRequest flow{.retryable = true, .regions = south};
+  wire::ServerRecord failing = MakeRecord("a1", 1, "here");
+  failing.set_failing(true);
+  this->Add(failing);
+  this->Server("b2").avoid_until = kStart + std::chrono::hours(1);
+  for (int i = 0; i < 200; ++i) {
+    LONGS_EQUAL(this->Index("b2"),
+                ChooseServer(this->placement, flow, kStart).value());
+  }
+  this->Server("b2").usable = false;
+  RefreshUsable(this->placement);
+  CHECK(!ChooseServer(this->placement, flow, kStart));
+}
+
+// Without settings on regions no data centre is in one.
+TEST(Placement, ChoosesNoServerWhenNoDataCentreIsInARegion) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  const std::vector<std::string> north = {"north"};
+  CHECK(!ChooseServer(this->placement, PlacementRequest{.regions = north},
+                      kStart));
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+}
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -299,3 +299,36 @@
     CHECK(Json::accept(WriteDocument(MakeStoredFile(text))));
   }
 }
+
+// Guards against a route that is read back, or obeyed, without its regions.
+TEST(ConfigDocument, AllowedRegionsAreKept) {
+  Json document = MakeDocument();
+  document["Routes"][0]["AllowedRegions"] = {"bg-sofia", "odd, name"};
+  const DocumentResult file = ReadDocument(document.dump());
+  CHECK(file.has_value());
+  CHECK(SortLists(document) ==
+        SortLists(Json::parse(WriteDocument(file.value()))));
+  const Rules rules = ParseRules(file.value().text(), "rules").rules;
+  const auto& regions =
+      rules.addresses.at(Endpoint{.ip = 0xC6120001, .port = 8080})
+          .route_settings.regions;
+  LONGS_EQUAL(2, regions.size());
+  STRCMP_EQUAL("odd, name", regions[1].c_str());
+}
+
+TEST(ConfigDocument, AllowedRegionsOfAnotherShapeAreRefused) {
+  const std::vector<Json> values = {Json::array(),
+                                    "bg-sofia",
+                                    Json::object(),
+                                    Json::array({1}),
+                                    Json::array({""}),
+                                    Json::array({std::string(201, 'x')}),
+                                    Json::array({"a\nb"}),
+                                    Json(std::vector<std::string>(33, "a")),
+                                    Json::array({"a", nullptr})};
+  for (const Json& value : values) {
+    Json document = MakeDocument();
+    document["Routes"][0]["AllowedRegions"] = value;
+    CHECK(IsRejected(document));
+  }
+}
--- a/Tests/Settings/SettingsTest.cc
+++ b/Tests/Settings/SettingsTest.cc
@@ -126,3 +126,26 @@
     CHECK_FALSE(Parse(without).usable);
   }
 }
+
+// A name may hold characters that end or quote other values.
+TEST(Settings, RegionsAreAJsonObject) {
+  const ParsedSettings parsed =
+      Parse(MakeText("data_centre = dc") +
+            "[fleet]\nregions = {\"a ; b\":\"north\",\"c\":\"so \\\"uth\"}\n");
+  LONGS_EQUAL(0, parsed.findings.size());
+  const auto& regions = parsed.settings.fleet.regions;
+  LONGS_EQUAL(2, regions.size());
+  STRCMP_EQUAL("north", regions.at("a ; b").c_str());
+  STRCMP_EQUAL("so \"uth", regions.at("c").c_str());
+}
+
+TEST(Settings, RegionsOfAnotherShapeAreAFinding) {
+  for (const std::string value : {"north", "[\"north\"]", "{\"a\":1}",
+                                  "{\"a\":\"north\"", "{\"a\":{}}"}) {
+    const ParsedSettings parsed = Parse(MakeText("data_centre = dc") +
+                                        "[fleet]\nregions = " + value + "\n");
+    LONGS_EQUAL(1, parsed.findings.size());
+    CHECK(parsed.settings.fleet.regions.empty());
+    CHECK(parsed.usable);
+  }
+}
