Control: Replicate evacuations of data centres

An evacuation or its withdrawal is an entry of the log. A repetition adds no entry if nothing else is on its way.

--- a/Source/Control/ControlState.cc
+++ b/Source/Control/ControlState.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Control/Evacuations.h"
+
 namespace filbertwall {
 namespace {
 
@@ -63,6 +65,9 @@
     case wire::Change::kMember:
       ApplyMember(state, entry.change().member());
       return;
+    case wire::Change::kEvacuation:
+      ApplyEvacuation(state, entry.seq(), entry.change().evacuation());
+      return;
     case wire::Change::KIND_NOT_SET:
       return;
   }
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -356,6 +356,7 @@
   replica.promises.clear();
   replica.last_acked_send.clear();
   replica.last_ack_sent.clear();
+  replica.features.clear();
   replica.voter_heard_at.clear();
   replica.standbys.clear();
   replica.next_election_at =
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -49,6 +49,8 @@
 struct PendingChange {
   std::uint64_t token = 0;  ///< 0: no verdict is wanted.
   wire::Change change;
+  /// When the change was submitted; `max` if its age does not matter.
+  TimePoint submitted_at = TimePoint::max();
 };
 
 /// The leader's record of a standby: an instance that receives the committed
@@ -99,6 +101,9 @@
   /// Send time, by the clock of each voter and standby, of its latest
   /// acknowledgement of a heartbeat. Leader only.
   std::map<std::uint32_t, Microseconds> last_ack_sent;
+  /// `HeartbeatAck.features` of each voter and standby that has acknowledged a
+  /// heartbeat of this leadership.
+  std::map<std::uint32_t, std::uint32_t> features;
   /// When the leader last received a message from each voter.
   std::map<std::uint32_t, TimePoint> voter_heard_at;
   std::map<std::uint32_t, Standby> standbys;  ///< Leader only.
@@ -141,6 +146,7 @@
 struct ControlSubmitted {
   std::uint64_t token = 0;
   wire::Change change;
+  TimePoint submitted_at = TimePoint::max();  ///< See `PendingChange`.
 };
 using ControlEvent = std::variant<ControlStarted, ControlTick, ControlReceived,
                                   ControlSubmitted>;
--- a/Source/Control/ReplicaContext.cc
+++ b/Source/Control/ReplicaContext.cc
@@ -74,6 +74,7 @@
 
 void RecordAck(ReplicaContext& context, std::uint32_t from,
                const wire::HeartbeatAck& ack) {
+  context.replica.features[from] = ack.features();
   // The latest one counts, also if it states an earlier time: the clock of its
   // sender starts anew when the machine does.
   const bool is_first = context.replica.last_ack_sent
--- a/Source/Control/ReplicaElection.cc
+++ b/Source/Control/ReplicaElection.cc
@@ -32,6 +32,7 @@
   replica.leader = replica.config.self;
   replica.elected_at = context.now;
   replica.last_acked_send.clear();
+  replica.features.clear();
   for (const wire::Member& member : replica.committed.members()) {
     // The silence of a voter is measured from the start of leadership at the
     // earliest, since a new leader has not received messages of all voters yet.
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Control/Ballot.h"
+#include "Control/Evacuations.h"
 #include "Control/ReplicaContext.h"
 
 /// Proposals: a submitted change is stored by a majority of the voters and then
@@ -131,8 +132,10 @@
          !replica.queue.empty()) {
     const PendingChange pending = replica.queue.front();
     replica.queue.pop_front();
-    HandleSubmitted(context, ControlSubmitted{.token = pending.token,
-                                              .change = pending.change});
+    HandleSubmitted(context,
+                    ControlSubmitted{.token = pending.token,
+                                     .change = pending.change,
+                                     .submitted_at = pending.submitted_at});
   }
 }
 
@@ -164,7 +167,16 @@
            "this instance is not the leader and cannot reach one");
     return;
   }
-  const PendingChange pending{.token = event.token, .change = event.change};
+  if (event.change.has_evacuation()) {
+    const auto decision = DecideEvacuation(replica, event, context.now);
+    if (decision) {
+      answer(decision->verdict, decision->reason);
+      return;
+    }
+  }
+  const PendingChange pending{.token = event.token,
+                              .change = event.change,
+                              .submitted_at = event.submitted_at};
   if (replica.proposing) {
     constexpr std::size_t kMaxQueuedChanges = 64;
     if (replica.queue.size() >= kMaxQueuedChanges) {
@@ -257,6 +269,7 @@
   ack.set_committed_seq(replica.committed.seq());
   ack.set_echoed_us(heartbeat.sent_us());
   ack.set_sent_us(ClockMicroseconds(context));
+  ack.set_features(kOwnFeatures);
   Send(context, from, std::move(message));
 }
 
