Placement: Choose no server of an evacuated data centre

RefreshUsable leaves these servers out, also those that register later. A new flow of a service without any other server is reset at once, also when its answer would be late and it would wait otherwise.

--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -183,6 +183,10 @@
   }
   const ServiceIndex service =
       ServiceOf(route->second, FlowKeyHash()(packet.key));
+  if (IsEmptiedByEvacuation(forwarder.placement, service)) {
+    forwarder.counters.no_server += 1;
+    return Reset(ForwardReason::kNoServer);
+  }
   // A copy that another server is to answer is urgent: the first server is
   // probably lost.
   const bool late =
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -97,7 +97,8 @@
     placement.data_centres.push_back(PlacedDataCentre{
         .name = name,
         .region =
-            region == placement.config.regions.end() ? "" : region->second});
+            region == placement.config.regions.end() ? "" : region->second,
+        .evacuated = placement.evacuated.contains(name)});
   }
   return index;
 }
@@ -187,6 +188,7 @@
   if (added) {
     placement.usable_by_service.emplace_back();
     placement.failing_by_service.emplace_back();
+    placement.evacuated_by_service.push_back(0);
     placement.mean_duration_ms_by_service.push_back(0);
   }
   return position->second;
@@ -230,6 +232,24 @@
   server.failing = record.failing();
 }
 
+void SetEvacuated(Placement& placement, std::set<std::string> names,
+                  TimePoint now) {
+  for (PlacedDataCentre& data_centre : placement.data_centres) {
+    const bool evacuated = names.contains(data_centre.name);
+    if (data_centre.evacuated && !evacuated) {
+      data_centre.returned_at = now;
+    }
+    data_centre.evacuated = evacuated;
+  }
+  placement.evacuated = std::move(names);
+}
+
+bool IsEmptiedByEvacuation(const Placement& placement, ServiceIndex service) {
+  return service < placement.usable_by_service.size() &&
+         placement.usable_by_service[service].empty() &&
+         placement.evacuated_by_service[service] > 0;
+}
+
 void RefreshUsable(Placement& placement) {
   std::map<Endpoint, std::uint64_t> latest;
   for (const PlacedServer& server : placement.servers) {
@@ -242,11 +262,17 @@
   for (std::size_t i = 0; i < placement.usable_by_service.size(); ++i) {
     placement.usable_by_service[i].clear();
     placement.failing_by_service[i].clear();
+    placement.evacuated_by_service[i] = 0;
   }
   for (ServerIndex i = 0; i < placement.servers.size(); ++i) {
     const PlacedServer& server = placement.servers[i];
     const bool owns_token = placement.by_token.at(server.token) == i;
-    if (server.usable && owns_token && IsLatest(latest, server)) {
+    if (!server.usable || !owns_token || !IsLatest(latest, server)) {
+      continue;
+    }
+    if (placement.data_centres[server.data_centre].evacuated) {
+      placement.evacuated_by_service[server.service] += 1;
+    } else {
       placement.usable_by_service[server.service].push_back(i);
       if (server.failing) {
         placement.failing_by_service[server.service].push_back(i);
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -70,6 +71,9 @@
   std::uint32_t consecutive_unanswered = 0;
   /// Until this time its servers are chosen only when there is no other.
   TimePoint avoid_until;
+  bool evacuated = false;  ///< Its servers get no new flow.
+  /// When this instance learned of the end of the last evacuation.
+  TimePoint returned_at;
 };
 
 struct PlacementConfig {
@@ -83,11 +87,15 @@
   /// Entries are never removed, so indices stay valid.
   std::vector<PlacedServer> servers;
   std::vector<PlacedDataCentre> data_centres;
+  /// Names of the evacuated data centres, also of those without servers.
+  std::set<std::string> evacuated;
   std::unordered_map<std::string, ServerIndex> by_id;
   std::unordered_map<std::uint32_t, ServerIndex> by_token;
   std::unordered_map<std::string, ServiceIndex> services;
   /// Servers that may be chosen, by service.
   std::vector<std::vector<ServerIndex>> usable_by_service;
+  /// Number of servers that only an evacuation excludes, by service.
+  std::vector<std::uint32_t> evacuated_by_service;
   /// The failing servers of `usable_by_service`.
   std::vector<std::vector<ServerIndex>> failing_by_service;
   /// Whether a route names the service, by service. Empty before the first
@@ -111,10 +119,19 @@
 void UpdateServer(Placement& placement, const wire::ServerRecord& record,
                   TimePoint now);
 
-/// Recomputes which servers may be chosen. Of several servers with the same
-/// address, only the one with the latest incarnation may; a server whose
-/// service no route names displaces no other. Call after a series of
-/// `UpdateServer` calls.
+/// Replaces the set of evacuated data centres. Precondition: `now` does not
+/// decrease between calls. Call `RefreshUsable` afterwards.
+void SetEvacuated(Placement& placement, std::set<std::string> names,
+                  TimePoint now);
+
+/// Returns whether the service has no usable server and would have one without
+/// the evacuations.
+bool IsEmptiedByEvacuation(const Placement& placement, ServiceIndex service);
+
+/// Recomputes which servers may be chosen: none of an evacuated data centre. Of
+/// several servers with the same address, only the one with the latest
+/// incarnation may; a server whose service no route names displaces no other.
+/// Call after a series of `UpdateServer` calls.
 void RefreshUsable(Placement& placement);
 
 /// A new flow for which a server is to be chosen.
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -589,3 +589,49 @@
   ExpireFlows(this->forwarder, kStart + std::chrono::seconds(5));
   CHECK_EQUAL(0, this->Unreported(decision.server).failed);
 }
+
+/// Guards against an evacuation that breaks open flows, or sends a copy of an
+/// opening packet away from the server that has accepted the flow.
+TEST(Forwarder, FlowsStayWithAnEvacuatedServer) {
+  const Decision opened = this->Decide(OpeningPacket(1));
+  const std::uint32_t token = this->At(opened.server).token;
+  this->Decide(LaterPacket(1, token));
+  Placement& placement = this->forwarder.placement;
+  const std::string data_centre =
+      placement.data_centres[this->At(opened.server).data_centre].name;
+  SetEvacuated(placement, {data_centre}, kStart);
+  RefreshUsable(placement);
+  const TimePoint later = kStart + Milliseconds(300);
+  CHECK(this->Decide(LaterPacket(1, token), later).server == opened.server);
+  const Decision copy = this->Decide(OpeningPacket(1), later);
+  CHECK(copy.verdict == Verdict::kForward);
+  CHECK(copy.server == opened.server);
+}
+
+/// Guards against a caller that waits for a service without servers: also one
+/// whose answer is late already is told at once.
+TEST(Forwarder, NewFlowsAreResetWhenAllDataCentresAreEvacuated) {
+  wire::RoutesUpdate update = MakeRoutes(4, 5, "proof");
+  update.mutable_set(0)->set_objective_ms(250);
+  Placement& placement = this->forwarder.placement;
+  CHECK(ApplyRoutes(this->forwarder.routes, update, placement));
+  LateServiceOf(this->forwarder.late, placement.services.at("proof"))
+      .window.in_flight = 5;
+  std::set<std::string> all;
+  for (const PlacedDataCentre& data_centre : placement.data_centres) {
+    all.insert(data_centre.name);
+  }
+  SetEvacuated(placement, all, kStart);
+  RefreshUsable(placement);
+  for (const Milliseconds waited : {Milliseconds(0), Milliseconds(1400)}) {
+    FlowPacket packet = OpeningPacket(waited.count() == 0 ? 2 : 3);
+    packet.since_first_copy = waited;
+    packet.copies = waited.count() == 0 ? 0 : 2;
+    const Decision decision = this->Decide(packet);
+    CHECK(decision.verdict == Verdict::kReset);
+    CHECK(decision.reason == ForwardReason::kNoServer);
+  }
+  SetEvacuated(placement, {}, kStart);
+  RefreshUsable(placement);
+  CHECK(this->Decide(OpeningPacket(4)).verdict == Verdict::kForward);
+}
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -274,3 +274,50 @@
                       kStart));
   STRCMP_EQUAL("a1", this->Choose().c_str());
 }
+
+/// Guards against flows to an evacuated data centre when all other servers are
+/// avoided or failing, and against a later server of it.
+TEST(Placement, ChoosesNoServerOfAnEvacuatedDataCentre) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  this->Add(MakeRecord("b2", 2, "there"));
+  SetEvacuated(this->placement, {"here", "later"}, kStart);
+  RefreshUsable(this->placement);
+  this->Server("b2").failing = true;
+  this->Server("b2").avoid_until = kStart + Milliseconds(1000);
+  this->Add(MakeRecord("c3", 3, "later"));
+  for (int i = 0; i < 200; ++i) {
+    STRCMP_EQUAL("b2", this->Choose().c_str());
+  }
+  CHECK_FALSE(IsEmptiedByEvacuation(this->placement, 0));
+  SetEvacuated(this->placement, {"here", "there", "later"}, kStart);
+  RefreshUsable(this->placement);
+  STRCMP_EQUAL("", this->Choose().c_str());
+  CHECK(IsEmptiedByEvacuation(this->placement, 0));
+}
+
+/// Guards against a withdrawal that is not known as such: the servers may be
+/// cold.
+TEST(Placement, KnowsWhenADataCentreReturned) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  SetEvacuated(this->placement, {"here"}, kStart);
+  RefreshUsable(this->placement);
+  const TimePoint returned_at = kStart + Milliseconds(500);
+  SetEvacuated(this->placement, {}, returned_at);
+  RefreshUsable(this->placement);
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+  const PlacedDataCentre& here =
+      this->placement.data_centres[this->Server("a1").data_centre];
+  CHECK(here.returned_at == returned_at);
+  SetEvacuated(this->placement, {}, returned_at + Milliseconds(500));
+  CHECK(here.returned_at == returned_at);
+}
+
+/// Guards against flows of a server that moved out of, or into, an evacuated
+/// data centre being decided by where it was.
+TEST(Placement, AnEvacuationFollowsTheDataCentreThatAServerReports) {
+  SetEvacuated(this->placement, {"here"}, kStart);
+  this->Add(MakeRecord("a1", 1, "here"));
+  STRCMP_EQUAL("", this->Choose().c_str());
+  this->Add(MakeRecord("a1", 1, "there", 2));
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+}
