--- a/Source/Rules/Rules.cc
+++ b/Source/Rules/Rules.cc
@@ -60,4 +60,12 @@
   return 1;
 }
 
+std::set<std::string> EvacuatedDataCentres(const Rules& rules) {
+  std::set<std::string> names;
+  for (const auto& [name, rule] : rules.evacuations) {
+    names.insert(name);
+  }
+  return names;
+}
+
 }  // namespace filbertwall
--- a/Source/Rules/Rules.h
+++ b/Source/Rules/Rules.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,15 @@
   Origin origin;
 };
 
+/// A data centre whose backend servers get no new flow or request.
+struct EvacuationRule {
+  std::string data_centre;
+  Origin origin;
+};
+
+/// Maximum number of data centres that the rules evacuate.
+inline constexpr std::size_t kMaxEvacuationRules = 64;
+
 struct Rules {
   std::uint64_t version = 0;
   std::map<std::string, ServiceRule> services;
@@ -130,6 +140,7 @@
   std::vector<RequestRule> requests;
   std::vector<WeightRule> weights;
   std::map<std::string, LimitRule> limits;
+  std::map<std::string, EvacuationRule> evacuations;  ///< By data centre.
   BoundsRule bounds;
 };
 
@@ -153,4 +164,7 @@
 std::uint32_t GetBackendWeight(const Rules& rules, const std::string& service,
                                const Endpoint& backend);
 
+/// Returns the names of the data centres that the rules evacuate.
+std::set<std::string> EvacuatedDataCentres(const Rules& rules);
+
 }  // namespace filbertwall
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -401,17 +401,36 @@
   }
 }
 
+void ParseEvacuate(Parser& parser, const std::vector<std::string>& words) {
+  if (!HasMinWords(parser, words, 2, "evacuate DATA_CENTRE")) {
+    return;
+  }
+  ParseOptions(parser, words, 2, {});
+  constexpr std::size_t kMaxNameBytes = 200;
+  auto& evacuations = parser.result.rules.evacuations;
+  if (words[1].size() > kMaxNameBytes) {
+    Report(parser, Excerpt(words[1]), "a data centre of at most 200 bytes");
+    return;
+  }
+  evacuations.emplace(words[1], EvacuationRule{.data_centre = words[1],
+                                               .origin = parser.origin});
+  if (evacuations.size() > kMaxEvacuationRules) {
+    Report(parser, words[1], "at most 64 evacuated data centres");
+  }
+}
+
 void ParseRule(Parser& parser, const std::vector<std::string>& words) {
   static const std::map<std::string,
                         void (*)(Parser&, const std::vector<std::string>&)>
       kRuleParsers = {{"version", ParseVersion}, {"service", ParseService},
                       {"address", ParseAddress}, {"request", ParseRequest},
                       {"weight", ParseWeight},   {"limit", ParseLimit},
-                      {"bounds", ParseBounds}};
+                      {"bounds", ParseBounds},   {"evacuate", ParseEvacuate}};
   const auto kind = kRuleParsers.find(words[0]);
   if (kind == kRuleParsers.end()) {
     Report(parser, words[0],
-           "version, service, address, request, weight, limit or bounds");
+           "version, service, address, request, weight, limit, bounds or "
+           "evacuate");
     return;
   }
   kind->second(parser, words);
