Fleet: Accept, distribute and apply evacuations

Control instances accept Evacuations.Start and .Stop, redirect them as they do submissions, and send the evacuations in every update once there was a command. An entry instance serves only once a fresh update or a majority of the voters has confirmed that it knows the newest one. Calls that arrived while the process was suspended are answered 503.

--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -96,6 +96,39 @@
   }
 }
 
+using NameList = google::protobuf::RepeatedPtrField<std::string>;
+
+/// Removes what no server's data centre can be named.
+void CheckDataCentres(NameList& names, SetAsideRecords& records) {
+  const auto cannot_be_used = [&](const std::string& name) {
+    const auto error = CheckName(name);
+    if (error) {
+      SetAside(records, *error, name);
+    }
+    return error.has_value();
+  };
+  names.erase(std::remove_if(names.begin(), names.end(), cannot_be_used),
+              names.end());
+}
+
+/// Removes evacuations that are impossible. The update then doesn't count as
+/// fresh, as its receiver can't know which evacuations are in force.
+void CheckEvacuations(wire::Update& update, SetAsideRecords& records) {
+  wire::Evacuations& evacuations = *update.mutable_evacuations();
+  const bool too_many =
+      evacuations.data_centres_size() > kMaxEvacuatedDataCentres ||
+      evacuations.by_rules_size() > kMaxEvacuatedDataCentres;
+  if (too_many || evacuations.seq() > kMaxNumber) {
+    SetAside(records,
+             too_many ? InputError::kTooLarge : InputError::kOutOfRange, "");
+    update.clear_evacuations();
+    update.set_fresh(false);
+    return;
+  }
+  CheckDataCentres(*evacuations.mutable_data_centres(), records);
+  CheckDataCentres(*evacuations.mutable_by_rules(), records);
+}
+
 bool IsUsable(const wire::Ballot& ballot) {
   return ballot.round() <= kMaxNumber;
 }
@@ -207,6 +240,9 @@
   CheckAddresses(*update.mutable_standbys(), records);
   CheckStatuses(update, records);
   CheckPosition(update, records);
+  if (update.has_evacuations()) {
+    CheckEvacuations(update, records);
+  }
   if (update.servers_size() > kMaxServersPerUpdate) {
     SetAside(records, InputError::kTooLarge, "");
     update.clear_servers();
--- a/Source/Distribution/ReceivedRecords.h
+++ b/Source/Distribution/ReceivedRecords.h
@@ -21,6 +21,10 @@
 /// of its messages.
 inline constexpr std::uint32_t kMaxOutcomesPerServer = 1'000'000;
 
+/// Maximum number of data centres that are evacuated by commands, and by the
+/// rules.
+inline constexpr int kMaxEvacuatedDataCentres = 64;
+
 /// The records that were set aside.
 struct SetAsideRecords {
   InputErrorCounts counts;
--- a/Source/Fleet/Calls.h
+++ b/Source/Fleet/Calls.h
@@ -28,6 +28,10 @@
 };
 /// Reads the rules file in force.
 struct ReadRulesCall {};
+/// Commands that a data centre be evacuated, or no longer.
+struct EvacuationCall {
+  wire::EvacuationChange change;
+};
 /// A call that cannot be translated; the adapter itself answers it.
 struct MalformedCall {
   int status = 400;
@@ -35,13 +39,14 @@
   std::string reason;
 };
 using FleetCall = std::variant<HealthCall, ReportCall, SubmitCall,
-                               ReadRulesCall, MalformedCall>;
+                               ReadRulesCall, EvacuationCall, MalformedCall>;
 
 /// An HTTP request as received.
 struct HttpCall {
   std::string method;
   std::string path;
   std::string body;
+  std::string caller;  ///< IP address.
 };
 
 /// Translates between HTTP and `FleetCall`. Both are pure functions.
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -127,6 +127,26 @@
 void HandleSubmitted(ControlContext& context, const RulesSubmitted& event);
 void HandleRead(ControlContext& context, const RulesRead& event);
 void HandleVerdict(ControlContext& context, const ControlVerdict& verdict);
+
+void HandleEvacuationOrder(ControlContext& context,
+                           const EvacuationOrdered& event);
+/// Retries the commands that wait for a leader and answers expired ones as
+/// unavailable.
+void RetryEvacuationOrders(ControlContext& context);
+/// Answers the command whose change got the verdict. Precondition:
+/// `proposal.evacuation` is set.
+void HandleEvacuationVerdict(ControlContext& context, const Proposal& proposal,
+                             const ControlVerdict& verdict);
+/// Logs a change of the committed evacuations and sends it to the followers.
+void ApplyCommittedEvacuations(ControlContext& context);
+/// Adds the evacuations to an update once there was any.
+void AddEvacuations(const ControlInstance& instance, wire::Update& update);
+/// Notes whether this process did not run for a while before this event, so
+/// that commands which arrived meanwhile are recognized.
+void DetectStall(ControlContext& context);
+/// Returns when `RetryEvacuationOrders` is to be called next.
+TimePoint NextDue(const EvacuationOrders& orders);
+
 /// Retries the submissions that wait for a leader and answers expired ones as
 /// unavailable.
 void RetrySubmissions(ControlContext& context);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -51,6 +51,7 @@
   for (const auto& [name, service] : parsed.rules.services) {
     instance.named_services.insert(name);
   }
+  instance.evacuations.by_rules = EvacuatedDataCentres(parsed.rules);
   Log(context, EventId::kRulesInForce,
       "version=" + std::to_string(file.version()) +
           " seq=" + std::to_string(instance.replica.committed.seq()));
@@ -70,6 +71,7 @@
   }
   void operator()(const ControlStateChanged&) {
     ApplyCommittedRules(this->context);
+    ApplyCommittedEvacuations(this->context);
   }
   void operator()(const ControlVerdict& effect) {
     HandleVerdict(this->context, effect);
@@ -193,6 +195,7 @@
   }
   AnswerFollowerRequests(context);
   RetrySubmissions(context);
+  RetryEvacuationOrders(context);
   AnswerPendingReports(context);
   ProcessOutcomes(context);
   if (context.now >= instance.next_save_at) {
@@ -234,6 +237,7 @@
       RunReplica(context, ControlReceived{.from = event.from,
                                           .message = message.control()});
       RetrySubmissions(context);
+      RetryEvacuationOrders(context);
     }
   } else if (message.has_subscribe()) {
     wire::Subscribe subscribe = message.subscribe();
@@ -266,6 +270,7 @@
             std::to_string(instance.replica.committed.members_size()) +
             " voter=" + std::to_string(IsVoter(instance.replica)));
     ApplyCommittedRules(this->context);
+    ApplyCommittedEvacuations(this->context);
     SubscribeToOthers(this->context);
     SendSummaryToFollowers(this->context);
   }
@@ -280,6 +285,9 @@
     HandleSubmitted(this->context, event);
   }
   void operator()(const RulesRead& event) { HandleRead(this->context, event); }
+  void operator()(const EvacuationOrdered& event) {
+    HandleEvacuationOrder(this->context, event);
+  }
   void operator()(const ControlStopRequested&) {
     this->context.instance.stopping = true;
     Log(this->context, EventId::kStopping, "control instance");
@@ -293,6 +301,7 @@
     }
     instance.proposals.clear();
     RetrySubmissions(this->context);
+    RetryEvacuationOrders(this->context);
   }
   void operator()(const RegistryNotSaved&) {
     this->context.instance.saved_change = kNoSavedChange;
@@ -391,15 +400,16 @@
                                           TimePoint now) {
   std::vector<ControlInstanceEffect> effects;
   ControlContext context{.instance = instance, .now = now, .effects = effects};
+  DetectStall(context);
   std::visit(EventVisitor{.context = context}, event);
   return effects;
 }
 
 TimePoint NextDue(const ControlInstance& instance) {
-  TimePoint due = std::min({instance.next_subscribe_at, instance.next_push_at,
-                            instance.next_housekeeping_at,
-                            instance.outcomes.next_evaluation_at,
-                            NextDue(instance.follower_queue)});
+  TimePoint due = std::min(
+      {instance.next_subscribe_at, instance.next_push_at,
+       instance.next_housekeeping_at, instance.outcomes.next_evaluation_at,
+       NextDue(instance.evacuations), NextDue(instance.follower_queue)});
   if (!instance.disk_failed) {
     due = std::min(due, NextDue(instance.replica));
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -77,6 +77,9 @@
   /// Reports that could be read, but are invalid or contradict others.
   InputErrorCounts refused_reports;
   std::uint64_t submissions = 0;
+  std::uint64_t evacuations_accepted = 0;     ///< Commands, as the leader.
+  std::uint64_t evacuations_refused = 0;      ///< Invalid commands.
+  std::uint64_t evacuations_unavailable = 0;  ///< Commands answered so.
   /// Reads that a leader refused as it had not committed the entry that it took
   /// over from an earlier one.
   std::uint64_t reads_undecided = 0;
@@ -94,10 +97,31 @@
   TimePoint next_evaluation_at = TimePoint::max();
 };
 
-/// A rules file that this instance proposed as leader.
+/// A change that this instance proposed as leader.
 struct Proposal {
   CallId call = 0;
   TimePoint proposed_at;
+  /// Set if the change is not a rules file.
+  std::optional<wire::EvacuationChange> evacuation;
+};
+
+/// A command to evacuate a data centre, or to withdraw that, which waits for a
+/// leader that may propose it.
+struct EvacuationOrder {
+  CallId call = 0;
+  wire::EvacuationChange change;
+  TimePoint arrived_at;
+};
+
+/// The evacuations at a control instance, and the commands for them.
+struct EvacuationOrders {
+  std::deque<EvacuationOrder> waiting;
+  /// The evacuations of the committed state, as last announced to followers.
+  std::uint64_t announced_seq = 0;
+  std::set<std::string> in_force;
+  std::set<std::string> by_rules;  ///< By the newest committed rules.
+  /// Commands that arrive earlier waited while the process did not run.
+  TimePoint refused_until;
 };
 
 struct ControlInstance {
@@ -113,6 +137,7 @@
   std::map<InstanceAddress, RegistrySource> sources;
   std::map<std::uint64_t, Proposal> proposals;  ///< By token.
   std::deque<PendingSubmission> submissions;    ///< Waiting for a leader.
+  EvacuationOrders evacuations;
   std::deque<PendingReport> reports;
   ServerOutcomes outcomes;
   std::string logged_voters;  ///< Voters as last logged.
@@ -163,6 +188,11 @@
 struct RulesRead {
   CallId call = 0;
 };
+/// An operator commands that a data centre be evacuated, or no longer.
+struct EvacuationOrdered {
+  CallId call = 0;
+  wire::EvacuationChange change;  ///< Its data centre is a valid name.
+};
 struct ControlStopRequested {};
 /// Writes to the disk fail. Records appended after the last sync may be missing
 /// from the log or incomplete.
@@ -175,7 +205,7 @@
 struct RegistryNotSaved {};
 using ControlInstanceEvent =
     std::variant<ControlInstanceStarted, ControlInstanceTick, PeerMessage,
-                 ServerReported, RulesSubmitted, RulesRead,
+                 ServerReported, RulesSubmitted, RulesRead, EvacuationOrdered,
                  ControlStopRequested, ControlDiskFailed, ControlDiskRestored,
                  RegistryNotSaved>;
 
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Base/Endpoint.h"
+#include "Control/Evacuations.h"
 #include "Fleet/ControlContext.h"
 
 /// Updates that control instances send to each other and to entry instances.
@@ -74,6 +75,7 @@
   if (own.newest_version() > state.rules().version()) {
     update.set_pending_version(own.newest_version());
   }
+  AddEvacuations(instance, update);
   return update;
 }
 
@@ -144,6 +146,7 @@
         std::max(state.rules().version(),
                  instance.replica.uncommitted->change().rules().version()));
   }
+  rules_status.set_newest_evacuation_seq(NewestEvacuationSeq(instance.replica));
   for (const wire::Member& member : state.members()) {
     rules_status.add_control_instances(member.instance());
   }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -230,9 +230,10 @@
 }
 
 /// Returns whether a majority of the voters has stored no version newer than
-/// the rules in force here. An accepted version is stored by a majority, and
-/// any two majorities share a voter, so one of these voters would have it. The
-/// set of voters is that of the voter with the most committed entries.
+/// the rules in force here, and no newer evacuation change. An accepted version
+/// is stored by a majority, and any two majorities share a voter, so one of
+/// these voters would have it. The set of voters is that of the voter with the
+/// most committed entries.
 bool IsConfirmedByMajority(const EntryInstance& instance, TimePoint now) {
   const wire::RulesStatus* latest = nullptr;
   for (const auto& [address, source] : instance.sources) {
@@ -256,7 +257,9 @@
       continue;
     }
     if (source->second.rules_status.newest_version() >
-        instance.forwarder.routes.version) {
+            instance.forwarder.routes.version ||
+        source->second.rules_status.newest_evacuation_seq() >
+            instance.evacuations.seq) {
       return false;
     }
     agreeing += 1;
@@ -299,11 +302,15 @@
                         const wire::RulesStatus& rules_status, TimePoint now) {
   const std::uint64_t newest = std::max(source.rules_status.newest_version(),
                                         rules_status.newest_version());
+  const std::uint64_t newest_evacuation =
+      std::max(source.rules_status.newest_evacuation_seq(),
+               rules_status.newest_evacuation_seq());
   if (rules_status.seq() >= source.rules_status.seq()) {
     source.rules_status = rules_status;
     source.rules_status_at = now;
   }
   source.rules_status.set_newest_version(newest);
+  source.rules_status.set_newest_evacuation_seq(newest_evacuation);
 }
 
 /// Returns a control instance, and adds it if it is new. Returns null for this
@@ -372,6 +379,11 @@
   instance.servers_known =
       instance.servers_known ||
       (has_contents && update.settled() && !update.partial());
+  for (const LogRecord& record :
+       ApplyEvacuations(instance.evacuations, update,
+                        instance.forwarder.placement, context.now)) {
+    context.effects.emplace_back(record);
+  }
   ApplyRoutesUpdate(context, update);
   ConfirmRules(context, update);
   RequestMissingContents(context, from, update);
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Base/InputError.h"
+#include "Fleet/EntryEvacuations.h"
 #include "Fleet/Fleet.h"
 #include "Forwarding/Forwarder.h"
 #include "Registry/Registry.h"
@@ -37,6 +38,7 @@
   FleetConfig config;
   Forwarder forwarder;
   Registry registry;
+  EntryEvacuations evacuations;
   std::map<InstanceAddress, ControlSource> sources;
   /// The control instance that is polled for changes. While it is 0, there is
   /// none, and all are probed: asked for their state without the contents.
--- a/Source/Fleet/Fleet.cc
+++ b/Source/Fleet/Fleet.cc
@@ -34,6 +34,8 @@
   rules_status.set_seq(update.seq());
   rules_status.set_newest_version(
       std::max(update.rules_version(), update.pending_version()));
+  rules_status.set_newest_evacuation_seq(
+      std::max(update.evacuations().seq(), update.evacuations().pending_seq()));
   *rules_status.mutable_control_instances() = update.control_instances();
   return rules_status;
 }
--- a/Source/Fleet/Submissions.cc
+++ b/Source/Fleet/Submissions.cc
@@ -150,10 +150,15 @@
   if (proposal == instance.proposals.end()) {
     return;
   }
-  const CallId call = proposal->second.call;
+  const Proposal proposed = proposal->second;
+  const CallId call = proposed.call;
   instance.commit_time.Add(std::chrono::duration_cast<Microseconds>(
-      context.now - proposal->second.proposed_at));
+      context.now - proposed.proposed_at));
   instance.proposals.erase(proposal);
+  if (proposed.evacuation) {
+    HandleEvacuationVerdict(context, proposed, verdict);
+    return;
+  }
   // A file is refused only when a version at least as high was committed
   // meanwhile, which is accepted like in `TrySubmission`.
   if (verdict.verdict == wire::UNKNOWN) {
--- a/Source/Requests/RequestTier.h
+++ b/Source/Requests/RequestTier.h
@@ -27,6 +27,7 @@
   std::string host;
   std::vector<wire::HeaderField> headers;
   std::string body;
+  std::string caller;  ///< IP address.
 };
 
 /// Names of the header fields that have a meaning to filbertwall; see
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -67,6 +67,7 @@
   void StartCall(CallId id, const ReportCall& call);
   void StartCall(CallId id, const SubmitCall& call);
   void StartCall(CallId id, const ReadRulesCall&);
+  void StartCall(CallId id, const EvacuationCall& call);
   void StartCall(CallId id, const HealthCall&);
   void StartCall(CallId id, const MalformedCall&);
 
@@ -268,8 +269,10 @@
 void ControlRuntime::HandleCall(std::uint64_t id, const HttpRequest& request) {
   const InputMark mark(InputKind::kCall,
                        request.path.size() + request.body.size());
-  const HttpCall http_call{
-      .method = request.method, .path = request.path, .body = request.body};
+  const HttpCall http_call{.method = request.method,
+                           .path = request.path,
+                           .body = request.body,
+                           .caller = request.caller};
   const auto [position, added] = this->calls.emplace(
       id, PendingCall{.request = http_call,
                       .call = this->adapter.calls.read(http_call)});
@@ -290,6 +293,10 @@
   this->Handle(RulesRead{.call = id});
 }
 
+void ControlRuntime::StartCall(CallId id, const EvacuationCall& call) {
+  this->Handle(EvacuationOrdered{.call = id, .change = call.change});
+}
+
 void ControlRuntime::StartCall(CallId id, const HealthCall&) {
   (*this)(AnswerCall{.call = id, .verdict = CallVerdict::kAccepted});
 }
--- a/Source/Shell/HttpServer.cc
+++ b/Source/Shell/HttpServer.cc
@@ -60,8 +60,20 @@
   return evbuffer_get_length(bufferevent_get_input(stream));
 }
 
+/// Returns the IP address of the caller; empty when it has disconnected.
+std::string ReadCaller(evhttp_request* request) {
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  char* address = nullptr;
+  std::uint16_t port = 0;
+  if (connection != nullptr) {
+    evhttp_connection_get_peer(connection, &address, &port);
+  }
+  return address == nullptr ? "" : address;
+}
+
 HttpRequest ReadRequest(evhttp_request* request) {
   HttpRequest result;
+  result.caller = ReadCaller(request);
   result.method = MethodName(evhttp_request_get_command(request));
   result.path = evhttp_request_get_uri(request);
   const evkeyvalq* fields = evhttp_request_get_input_headers(request);
--- a/Tests/Fuzz/Entrances.cc
+++ b/Tests/Fuzz/Entrances.cc
@@ -39,6 +39,10 @@
 struct CallChecker {
   void operator()(const HealthCall&) const {}
   void operator()(const ReadRulesCall&) const {}
+  void operator()(const EvacuationCall& call) const {
+    Expect(!CheckServerName(call.change.data_centre()),
+           "an evacuated data centre has a valid name");
+  }
   void operator()(const MalformedCall& call) const {
     Expect(call.status >= 400 && call.status < 500, "a refusal is a 4xx");
   }
--- a/Tests/Platform/CallAdapterTest.cc
+++ b/Tests/Platform/CallAdapterTest.cc
@@ -373,3 +373,91 @@
     CHECK(HasBody(answer));
   }
 }
+
+/// Guards against a name that is taken as encoded, or for another one.
+TEST(CallAdapter, ParsesEvacuations) {
+  const std::vector<std::pair<std::string, std::string>> names = {
+      {"providence", "providence"},
+      {"eu%2Fwest%201", "eu/west 1"},
+      {"s%C3%B3fia",
+       "s\xC3\xB3"
+       "fia"},
+      {"s\xC3\xB3"
+       "fia",
+       "s\xC3\xB3"
+       "fia"},
+      {"100%25", "100%"},
+      {"a+b", "a+b"},
+      {Repeat("a", 200), Repeat("a", 200)},
+      {Repeat("%61", 200), Repeat("a", 200)}};
+  for (const auto& [encoded, name] : names) {
+    for (const char* body : {"", "{}", " {}\n"}) {
+      const FleetCall start = this->translator.read(
+          HttpCall{.method = "POST",
+                   .path = "/api/Evacuations.Start/" + encoded,
+                   .body = body,
+                   .caller = "127.0.0.9"});
+      const wire::EvacuationChange& change =
+          std::get<EvacuationCall>(start).change;
+      STRCMP_EQUAL(name.c_str(), change.data_centre().c_str());
+      STRCMP_EQUAL("127.0.0.9", change.requester().c_str());
+      CHECK(change.active());
+      const FleetCall stop =
+          this->ParseCall("POST", "/api/Evacuations.Stop/" + encoded, body);
+      CHECK_FALSE(std::get<EvacuationCall>(stop).change.active());
+    }
+  }
+}
+
+/// Guards against input that no server's data centre can have, which could
+/// never be withdrawn or sent on.
+TEST(CallAdapter, OddEvacuationsAreRefused) {
+  const std::vector<std::pair<std::string, InputError>> names = {
+      {"", InputError::kOutOfRange},
+      {Repeat("a", 201), InputError::kOutOfRange},
+      {"a%00b", InputError::kOutOfRange},
+      {"a%0Ab", InputError::kOutOfRange},
+      {"a%7f", InputError::kOutOfRange},
+      {"a%C2%85", InputError::kOutOfRange},
+      {"a%FF", InputError::kNotUtf8},
+      {"a%C3", InputError::kNotUtf8},
+      {"a\xC3", InputError::kNotUtf8},
+      {"a%", InputError::kNotReadable},
+      {"a%4", InputError::kNotReadable},
+      {"a%4g", InputError::kNotReadable},
+      {"a?force=1", InputError::kNotReadable}};
+  for (const char* path :
+       {"/api/Evacuations.Start/", "/api/Evacuations.Stop/"}) {
+    for (const auto& [name, error] : names) {
+      this->CheckRefused(this->ParseCall("POST", path + name), error);
+    }
+    for (const char* body : {"x", "[]", "null", R"({"Zone":"a"})"}) {
+      this->CheckRefused(
+          this->ParseCall("POST", std::string(path) + "providence", body),
+          InputError::kNotReadable);
+    }
+  }
+  const FleetCall get = this->ParseCall("GET", "/api/Evacuations.Start/a");
+  LONGS_EQUAL(404, this->BuildAnswer("/", get, AnswerCall{}).status());
+}
+
+/// Guards against a redirect that loses the encoding of the name.
+TEST(CallAdapter, AnswersEvacuations) {
+  const std::string path = "/api/Evacuations.Start/eu%2Fwest";
+  const FleetCall call = this->ParseCall("POST", path);
+  const wire::Answer accepted = this->BuildAnswer(
+      path, call, AnswerCall{.verdict = CallVerdict::kAccepted});
+  LONGS_EQUAL(200, accepted.status());
+  CHECK(HasBody(accepted));
+  const wire::Answer redirect = this->BuildAnswer(
+      path, call,
+      AnswerCall{.verdict = CallVerdict::kRedirected, .leader = 0x0A000004});
+  LONGS_EQUAL(307, redirect.status());
+  STRCMP_EQUAL("http://10.0.0.4:8166/api/Evacuations.Start/eu%2Fwest",
+               redirect.headers(1).value().c_str());
+  LONGS_EQUAL(400,
+              this->BuildAnswer(path, call,
+                                AnswerCall{.verdict = CallVerdict::kRefused})
+                  .status());
+  LONGS_EQUAL(503, this->BuildAnswer(path, call, AnswerCall{}).status());
+}
