Control: Let a silent voter block no evacuation

A leader proposed evacuations only once every voter had said that it applies them. A voter that is lost or cut off says nothing, and a new leader elected meanwhile answered 503 until the voter was replaced, 3 s to 5 s later: just when a data centre is lost and another one has to be evacuated. Now the voters that were heard in this leadership must be a majority and all apply the change. An older build that comes back is sent the whole state and keeps it unread.

--- a/Source/Control/Evacuations.cc
+++ b/Source/Control/Evacuations.cc
@@ -1,6 +1,7 @@
 #include "Control/Evacuations.h"
 
 #include <algorithm>
+#include <set>
 
 namespace filbertwall {
 namespace {
@@ -51,15 +52,21 @@
 }
 
 bool KnowsEvacuations(const Replica& replica) {
-  const auto knows = [&](const wire::Member& member) {
+  if (replica.role != ReplicaRole::kLeader) {
+    return false;
+  }
+  std::set<std::uint32_t> knowing = {replica.config.self};
+  for (const wire::Member& member : replica.committed.members()) {
     const auto features = replica.features.find(member.instance());
-    return member.instance() == replica.config.self ||
-           (features != replica.features.end() &&
-            (features->second & kEvacuationsFeature) != 0);
-  };
-  return replica.role == ReplicaRole::kLeader &&
-         std::all_of(replica.committed.members().begin(),
-                     replica.committed.members().end(), knows);
+    if (features == replica.features.end()) {
+      continue;  // Not heard in this leadership.
+    }
+    if ((features->second & kEvacuationsFeature) == 0) {
+      return false;
+    }
+    knowing.insert(member.instance());
+  }
+  return IsMajority(replica.committed, knowing);
 }
 
 std::uint64_t NewestEvacuationSeq(const Replica& replica) {
--- a/Source/Control/Evacuations.h
+++ b/Source/Control/Evacuations.h
@@ -31,9 +31,12 @@
 void ApplyEvacuation(wire::ControlState& state, std::uint64_t seq,
                      const wire::EvacuationChange& change);
 
-/// Returns whether this replica is the leader and every voter has said in this
-/// leadership that it applies evacuation changes. A build that does not would
-/// store such an entry and leave it out of its state.
+/// Returns whether this replica is the leader, and the voters that it has heard
+/// in this leadership are a majority and all apply evacuation changes. A build
+/// that does not would store such an entry and leave it out of its state. A
+/// voter that is lost or cut off does not count against it: data centres are
+/// evacuated just then. Once it is back it is sent the whole state, which an
+/// older build keeps unread.
 bool KnowsEvacuations(const Replica& replica);
 
 /// Returns the sequence number of the newest evacuation change that this
