Fleet: Limit the new flows to cold servers by leases of the leader

A server that has just started, or whose data centre has returned, got its full share of new flows from each entry instance. The leader leases the limit of each cold server to the entry instances that have demand, and a flow goes to a cold server only within such a lease. Services without a limit add no bytes and no work to a decision but one comparison.

A record whose warm-up starts anew is now a change that is sent on; control instances start the warm-up of servers that report a new incarnation and of data centres whose evacuation is withdrawn, so that it is known everywhere and after restarts.

--- a/Source/Base/Text.cc
+++ b/Source/Base/Text.cc
@@ -31,6 +31,19 @@
   return value;
 }
 
+std::optional<double> ParseDecimal(std::string_view text, double min,
+                                   double max) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [parsed_end, error] = std::from_chars(text.data(), end, value);
+  // Not a number is neither below nor above.
+  const bool in_range = value >= min && value <= max;
+  if (error != std::errc() || parsed_end != end || !in_range) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text) {
   constexpr std::uint64_t kMaxDurationMs = 3600UL * 1000UL;
   std::uint64_t unit_ms = 0;
--- a/Source/Base/Text.h
+++ b/Source/Base/Text.h
@@ -15,6 +15,11 @@
 std::optional<std::uint64_t> ParseNumber(std::string_view text,
                                          std::uint64_t min, std::uint64_t max);
 
+/// Parses a decimal number, also with a fraction or an exponent, within
+/// [min, max]. Returns nullopt for any other text.
+std::optional<double> ParseDecimal(std::string_view text, double min,
+                                   double max);
+
 /// Parses a duration such as "250ms" or "2s". Returns nullopt for any other
 /// text and for more than an hour.
 std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text);
--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -60,6 +60,28 @@
       set.end());
 }
 
+/// Removes limits of services that cannot be named. A limit that cannot be read
+/// becomes the strictest one, as its absence is not what was accepted.
+void CheckServiceLimits(wire::RoutesUpdate& routes, SetAsideRecords& records) {
+  auto& services = *routes.mutable_services();
+  const auto cannot_be_named = [&](wire::ServiceWarmup& item) {
+    const auto error = CheckName(item.service(), kMaxServiceBytes);
+    const bool in_range = item.flows_per_second() > 0 &&
+                          item.flows_per_second() <= kMaxWarmupFlowsPerSecond &&
+                          item.warmup_ms() <= kMaxServiceWarmupMs;
+    if (error || !in_range) {
+      SetAside(records, error.value_or(InputError::kOutOfRange),
+               item.SerializeAsString());
+      item.set_flows_per_second(1);
+      item.set_warmup_ms(std::min(item.warmup_ms(), kMaxServiceWarmupMs));
+    }
+    return error.has_value();
+  };
+  services.erase(
+      std::remove_if(services.begin(), services.end(), cannot_be_named),
+      services.end());
+}
+
 /// Empties a list that is too long; removes the address 0 and repeated ones,
 /// which would count twice in a majority.
 void CheckAddresses(AddressList& addresses, SetAsideRecords& records) {
@@ -257,6 +279,7 @@
     return;
   }
   CheckRoutes(*update.mutable_routes(), records);
+  CheckServiceLimits(*update.mutable_routes(), records);
 }
 
 std::optional<InputError> CheckControlMessage(
@@ -290,6 +313,38 @@
                 servers.end());
 }
 
+void CheckWarmupRequest(wire::WarmupRequest& request,
+                        SetAsideRecords& records) {
+  auto& demands = *request.mutable_demands();
+  const auto cannot_be_used = [&](const wire::WarmupDemand& demand) {
+    const bool usable =
+        !CheckName(demand.service(), kMaxServiceBytes) &&
+        demand.flows_per_second() > 0 &&
+        demand.flows_per_second() <= kMaxWarmupFlowsPerSecond;
+    if (!usable) {
+      SetAside(records, InputError::kOutOfRange, demand.SerializeAsString());
+    }
+    return !usable;
+  };
+  demands.erase(std::remove_if(demands.begin(), demands.end(), cannot_be_used),
+                demands.end());
+}
+
+void CheckWarmupGrant(wire::WarmupGrant& grant, SetAsideRecords& records) {
+  auto& leases = *grant.mutable_leases();
+  const auto cannot_be_used = [&](const wire::WarmupLease& lease) {
+    const bool usable = IsName(lease.server()) &&
+                        lease.incarnation() <= kMaxIncarnation &&
+                        lease.flows_per_second() <= kMaxWarmupFlowsPerSecond;
+    if (!usable) {
+      SetAside(records, InputError::kOutOfRange, lease.SerializeAsString());
+    }
+    return !usable;
+  };
+  leases.erase(std::remove_if(leases.begin(), leases.end(), cannot_be_used),
+               leases.end());
+}
+
 void CheckSubscribe(wire::Subscribe& subscribe, SetAsideRecords& records) {
   if (subscribe.has_outcomes()) {
     CheckOutcomes(*subscribe.mutable_outcomes(), records);
--- a/Source/Distribution/ReceivedRecords.h
+++ b/Source/Distribution/ReceivedRecords.h
@@ -24,6 +24,9 @@
 /// Maximum number of data centres that are evacuated by commands, and by the
 /// rules.
 inline constexpr int kMaxEvacuatedDataCentres = 64;
+/// Limits on what is said about servers that warm up.
+inline constexpr std::uint32_t kMaxWarmupFlowsPerSecond = 1'000'000;
+inline constexpr std::uint32_t kMaxServiceWarmupMs = 3'600'000;
 
 /// The records that were set aside.
 struct SetAsideRecords {
@@ -77,6 +80,12 @@
 /// Removes flow outcomes whose counts are impossible.
 void CheckOutcomes(wire::Outcomes& outcomes, SetAsideRecords& records);
 
+/// Removes demands that cannot be used.
+void CheckWarmupRequest(wire::WarmupRequest& request, SetAsideRecords& records);
+
+/// Removes leases that cannot be used.
+void CheckWarmupGrant(wire::WarmupGrant& grant, SetAsideRecords& records);
+
 /// Removes what cannot be used from a request.
 void CheckSubscribe(wire::Subscribe& subscribe, SetAsideRecords& records);
 
--- a/Source/Distribution/RouteHistory.cc
+++ b/Source/Distribution/RouteHistory.cc
@@ -1,5 +1,8 @@
 #include "Distribution/RouteHistory.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include "Base/InputError.h"
 
 namespace filbertwall {
@@ -43,6 +46,13 @@
 
 }  // namespace
 
+std::uint32_t WholeFlowsPerSecond(const WarmupRule& warmup) {
+  return warmup.flows_per_second > 0
+             ? static_cast<std::uint32_t>(
+                   std::max(1.0, std::floor(warmup.flows_per_second)))
+             : 0;
+}
+
 void AddVersion(RouteHistory& history, const Rules& rules) {
   RouteSet& set = history.versions[rules.version];
   for (const auto& [address, rule] : rules.addresses) {
@@ -50,6 +60,16 @@
         static_cast<std::uint64_t>(address.ip) << 16U | address.port;
     set.routes[key] = MakeRoute(rule).SerializeAsString();
   }
+  for (const auto& [name, rule] : rules.services) {
+    const std::uint32_t flows_per_second = WholeFlowsPerSecond(rule.warmup);
+    if (flows_per_second > 0) {
+      wire::ServiceWarmup& item = set.services.emplace_back();
+      item.set_service(name);
+      item.set_warmup_ms(
+          static_cast<std::uint32_t>(rule.warmup.duration.count()));
+      item.set_flows_per_second(flows_per_second);
+    }
+  }
   while (history.versions.size() > kMaxVersions) {
     history.versions.erase(history.versions.begin());
   }
@@ -79,6 +99,9 @@
       update.add_removed(key);
     }
   }
+  for (const wire::ServiceWarmup& service : newest.services) {
+    *update.add_services() = service;
+  }
   return update;
 }
 
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Fleet/ControlInstance.h"
+#include "Rules/Rules.h"
 
 /// Internal to Fleet: functions shared by the source files that implement the
 /// reducer of a control instance.
@@ -124,6 +125,31 @@
 /// servers are marked as failing.
 void ProcessOutcomes(ControlContext& context);
 
+/// Takes over the warm-up limits of newly committed rules.
+void ApplyWarmupLimits(ControlContext& context, const Rules& rules);
+/// Returns whether a reported record is the first of a server's start. To be
+/// called before the record is merged.
+bool StartsNewLife(const ControlContext& context,
+                   const wire::ServerRecord& record);
+/// Starts the warm-up of a server that has just started, if its service has a
+/// limit.
+void StartWarmupOfNewServer(ControlContext& context, const std::string& id);
+/// Starts the warm-up of the servers of a data centre whose evacuation was
+/// withdrawn, if their services have limits.
+void StartWarmupOfDataCentre(ControlContext& context,
+                             const std::string& data_centre);
+/// Starts the warm-ups of data centres whose evacuations were withdrawn by a
+/// change of the committed state.
+void NoteEvacuations(ControlContext& context);
+/// Returns where leases on warm-up limits are requested; 0: nowhere.
+InstanceAddress WarmupLeader(const ControlContext& context);
+/// Grants leases if this instance may. Precondition: `request` has passed
+/// `CheckWarmupRequest`.
+void HandleWarmupRequest(ControlContext& context, InstanceAddress from,
+                         const wire::WarmupRequest& request);
+/// Removes expired leases.
+void ExpireWarmup(ControlContext& context);
+
 void HandleSubmitted(ControlContext& context, const RulesSubmitted& event);
 void HandleRead(ControlContext& context, const RulesRead& event);
 void HandleVerdict(ControlContext& context, const ControlVerdict& verdict);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -18,6 +18,9 @@
 /// How long gone servers and subscribers without requests are kept.
 constexpr Milliseconds kGoneRetention{90000};
 constexpr Milliseconds kSaveInterval{1000};
+/// While servers warm up, the registry is also saved after this time without a
+/// change. A server counts as cold for this much too long after a restart.
+constexpr Milliseconds kWarmupSaveInterval{2000};
 constexpr Milliseconds kLease{600};
 constexpr Milliseconds kElectionJitter{250};
 /// Lower limit of the number of voters, also if no disk loss has to be
@@ -47,6 +50,7 @@
     return;
   }
   AddVersion(instance.history, parsed.rules);
+  ApplyWarmupLimits(context, parsed.rules);
   instance.named_services.clear();
   for (const auto& [name, service] : parsed.rules.services) {
     instance.named_services.insert(name);
@@ -72,6 +76,7 @@
   void operator()(const ControlStateChanged&) {
     ApplyCommittedRules(this->context);
     ApplyCommittedEvacuations(this->context);
+    NoteEvacuations(this->context);
   }
   void operator()(const ControlVerdict& effect) {
     HandleVerdict(this->context, effect);
@@ -131,6 +136,13 @@
   ReportSetAside(context, set_aside, "disk");
   for (wire::ServerRecord& record : servers) {
     record.set_failing(false);  // Flow outcomes are not saved.
+    if (record.warmup_ms() > 0) {
+      // The saved time is what is left now, though the report is dated back.
+      const std::int64_t warmup_ms =
+          record.warmup_ms() + MillisecondsBetween(reported_at, context.now);
+      record.set_warmup_ms(static_cast<std::uint32_t>(
+          std::min<std::int64_t>(warmup_ms, kMaxWarmup.count())));
+    }
     MergeServerRecord(instance.registry, record, reported_at);
   }
   instance.settled = !instance.registry.servers.empty();
@@ -161,7 +173,8 @@
   std::set<InstanceAddress> others =
       OtherControlInstances(instance, context.now);
   const bool unchanged = instance.saved_change == instance.registry.change &&
-                         instance.saved_control_instances == others;
+                         instance.saved_control_instances == others &&
+                         context.now < instance.warmups_outdated_at;
   if (unchanged && no_new_follower) {
     return;
   }
@@ -177,7 +190,11 @@
   instance.saved_control_instances = std::move(others);
   RecordBatch all = RecordsAfter(instance.registry, 0,
                                  instance.registry.servers.size(), context.now);
+  instance.warmups_outdated_at = TimePoint::max();
   for (wire::ServerRecord& record : all.records) {
+    if (record.warmup_ms() > 0) {
+      instance.warmups_outdated_at = context.now + kWarmupSaveInterval;
+    }
     *effect.saved.add_servers() = std::move(record);
   }
   context.effects.emplace_back(std::move(effect));
@@ -212,6 +229,7 @@
     SchedulePush(context);
   }
   RemoveExpiredServers(instance.registry, kGoneRetention, context.now);
+  ExpireWarmup(context);
   std::erase_if(instance.subscribers, [&](const auto& item) {
     return context.now - item.second.heard_at > kGoneRetention;
   });
@@ -249,6 +267,10 @@
     wire::Outcomes outcomes = message.outcomes();
     CheckOutcomes(outcomes, set_aside);
     HandleOutcomes(context, outcomes);
+  } else if (message.has_warmup_request()) {
+    wire::WarmupRequest request = message.warmup_request();
+    CheckWarmupRequest(request, set_aside);
+    HandleWarmupRequest(context, event.from, request);
   }
   ReportSetAside(context, set_aside, FormatIp(event.from));
 }
@@ -260,7 +282,8 @@
     instance.started_at = this->context.now;
     instance.in_touch_until = this->context.now;
     instance.next_push_at = kNever;
-    // First, since an election needs the answers to its messages.
+    NoteEvacuations(this->context);
+    // Before the rest, since an election needs the answers to its messages.
     RunReplica(this->context,
                ControlStarted{.start = instance.config.incarnation});
     RestoreRegistry(this->context, event.saved);
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -16,6 +16,7 @@
 #include "Distribution/RouteHistory.h"
 #include "Fleet/Fleet.h"
 #include "Fleet/FollowerQueue.h"
+#include "Fleet/WarmupGrants.h"
 #include "Outcomes/Outcomes.h"
 #include "Registry/Registry.h"
 
@@ -140,6 +141,7 @@
   EvacuationOrders evacuations;
   std::deque<PendingReport> reports;
   ServerOutcomes outcomes;
+  WarmupGrants warmup;
   std::string logged_voters;  ///< Voters as last logged.
   std::uint64_t next_token = 1;
   TimePoint started_at;
@@ -151,6 +153,9 @@
   TimePoint next_housekeeping_at;  ///< Next removal of expired state.
   TimePoint next_save_at;  ///< Earliest time of the next `SaveRegistry`.
   std::uint64_t saved_change = 0;  ///< Registry change last saved.
+  /// When the registry is saved again, as the saved warm-up times have become
+  /// outdated.
+  TimePoint warmups_outdated_at = TimePoint::max();
   std::set<InstanceAddress> saved_followers;
   std::set<InstanceAddress> saved_control_instances;
   /// Entry instances that were subscribed before this start.
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -70,6 +70,7 @@
   update.set_data_centre(instance.config.data_centre);
   update.set_rules_version(state.rules().version());
   update.set_seq(state.seq());
+  update.set_leader(WarmupLeader(context));
   const wire::RulesStatus own = BuildRulesStatus(instance);
   update.set_voter(own.voter());
   if (own.newest_version() > state.rules().version()) {
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -196,7 +196,8 @@
   instance.forwarder.serving = serving;
 }
 
-void MergeServers(EventContext& context, const wire::Update& update) {
+/// Returns whether a record has changed.
+bool MergeServers(EventContext& context, const wire::Update& update) {
   EntryInstance& instance = context.instance;
   bool changed = false;
   for (const wire::ServerRecord& record : update.servers()) {
@@ -215,6 +216,21 @@
   if (changed) {
     RefreshUsable(instance.forwarder.placement);
   }
+  return changed;
+}
+
+/// Sends the request for leases on warm-up limits, if it is due.
+void RequestWarmup(EventContext& context) {
+  EntryInstance& instance = context.instance;
+  WarmupRequestResult result = RequestWarmupLeases(
+      instance.warmup, instance.forwarder.placement,
+      instance.config.incarnation, context.now);
+  for (LogRecord& record : result.records) {
+    context.effects.emplace_back(std::move(record));
+  }
+  for (SendMessage& message : result.messages) {
+    context.effects.emplace_back(std::move(message));
+  }
 }
 
 void ApplyRoutesUpdate(EventContext& context, const wire::Update& update) {
@@ -371,7 +387,7 @@
   source.data_centre = update.data_centre();
   source.rules_status = ExtractRulesStatus(update);
   source.rules_status_at = context.now;
-  MergeServers(context, update);
+  const bool servers_changed = MergeServers(context, update);
   const bool has_contents = update.registry_epoch() != 0;
   if (has_contents) {
     AdvancePosition(source.position, update);
@@ -385,10 +401,13 @@
     context.effects.emplace_back(record);
   }
   ApplyRoutesUpdate(context, update);
+  ScheduleWarmupRequest(instance.forwarder.placement, servers_changed,
+                        context.now);
   ConfirmRules(context, update);
   RequestMissingContents(context, from, update);
   if (update.fresh()) {
     source.fresh_at = context.now;
+    instance.warmup.leader = update.leader();
     ChoosePrimary(context, from, source);
     if (from == instance.primary) {
       instance.primary_fresh_at = context.now;
@@ -400,6 +419,16 @@
   UpdateServingState(context);
 }
 
+/// Counts and logs records that were set aside. Does nothing if there are none.
+void ReportSetAside(EventContext& context, const SetAsideRecords& records,
+                    InstanceAddress from) {
+  if (records.total > 0) {
+    AddCounts(context.instance.set_aside, records);
+    Log(context, EventId::kRecordSetAside,
+        FormatSetAside(records, FormatIp(from)), Severity::kWarning);
+  }
+}
+
 struct EventVisitor {
   EventContext& context;
   void operator()(const EntryStarted&) {
@@ -414,6 +443,7 @@
     if (this->context.now >= instance.next_poll_at) {
       PollControl(this->context);
     }
+    RequestWarmup(this->context);
     if (this->context.now >= instance.next_housekeeping_at) {
       instance.next_housekeeping_at = this->context.now + kHousekeepingInterval;
       RemoveExpiredServers(instance.registry, kGoneRetention,
@@ -428,6 +458,9 @@
     }
   }
   void operator()(const PeerMessage& event) {
+    if (event.message.has_warmup_grant()) {
+      HandleGrant(event.from, event.message.warmup_grant());
+    }
     if (!event.message.has_update()) {
       return;
     }
@@ -437,13 +470,17 @@
     if (sent_routes) {
       this->context.instance.all_routes_wanted = !update.has_routes();
     }
-    if (set_aside.total > 0) {
-      AddCounts(this->context.instance.set_aside, set_aside);
-      Log(this->context, EventId::kRecordSetAside,
-          FormatSetAside(set_aside, FormatIp(event.from)), Severity::kWarning);
-    }
+    ReportSetAside(this->context, set_aside, event.from);
     HandleUpdate(this->context, event.from, update);
   }
+  void HandleGrant(InstanceAddress from, wire::WarmupGrant grant) {
+    EntryInstance& instance = this->context.instance;
+    SetAsideRecords set_aside;
+    CheckWarmupGrant(grant, set_aside);
+    ReportSetAside(this->context, set_aside, from);
+    HandleWarmupGrant(instance.warmup, instance.forwarder.placement,
+                      instance.config.incarnation, grant, this->context.now);
+  }
   void operator()(const EntryStopRequested&) {
     EntryInstance& instance = this->context.instance;
     if (!instance.stopping) {
@@ -486,7 +523,8 @@
   TimePoint due =
       std::min({instance.next_poll_at, instance.next_housekeeping_at,
                 instance.forwarder.held.release_at,
-                instance.forwarder.late.next_check_at});
+                instance.forwarder.late.next_check_at,
+                instance.forwarder.placement.warmup.next_request_at});
   if (instance.stopping) {
     due = std::min(due, instance.stop_at);
   }
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -10,6 +10,7 @@
 #include "Base/InputError.h"
 #include "Fleet/EntryEvacuations.h"
 #include "Fleet/Fleet.h"
+#include "Fleet/WarmupRequests.h"
 #include "Forwarding/Forwarder.h"
 #include "Registry/Registry.h"
 
@@ -61,6 +62,7 @@
   /// Minimum time between two requests for missing contents.
   Milliseconds contents_request_interval{0};
   TimePoint next_housekeeping_at;
+  WarmupRequester warmup;
   TimePoint stop_at;
   InputErrorCounts set_aside;  ///< Records that could not be used.
 };
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -151,6 +151,8 @@
     // for the flows of the server.
     const std::uint64_t incarnation = record.incarnation();
     record = known->second.record;
+    record.set_warmup_ms(static_cast<std::uint32_t>(
+        RemainingWarmup(known->second, context.now).count()));
     if (incarnation == 0 || incarnation >= record.incarnation()) {
       record.set_incarnation(std::max(incarnation, record.incarnation()));
       record.set_phase(wire::SERVER_GONE);
@@ -158,10 +160,14 @@
     }
   }
   PreserveFailingState(instance.registry, record);
+  const bool starts = StartsNewLife(context, record);
   if (MergeServerRecord(instance.registry, record, context.now)) {
     LogServer(context, record, "itself");
     SchedulePush(context);
   }
+  if (starts) {
+    StartWarmupOfNewServer(context, record.id());
+  }
   Server& server = instance.registry.servers.at(record.id());
   if (record.incarnation() >= server.record.incarnation()) {
     server.reported_at = context.now;
--- a/Source/Forwarding/RouteTable.cc
+++ b/Source/Forwarding/RouteTable.cc
@@ -34,6 +34,18 @@
   }
 }
 
+/// Replaces the limits on new flows to servers that warm up.
+void ApplyWarmupLimits(const wire::RoutesUpdate& update, Placement& placement) {
+  std::vector<WarmupLimit> limits;
+  for (const wire::ServiceWarmup& item : update.services()) {
+    const ServiceIndex service = InternService(placement, item.service());
+    limits.resize(placement.usable_by_service.size());
+    limits[service] = {.duration = Milliseconds(item.warmup_ms()),
+                       .flows_per_second = item.flows_per_second()};
+  }
+  SetWarmupLimits(placement.warmup, std::move(limits));
+}
+
 }  // namespace
 
 bool ApplyRoutes(RouteTable& table, const wire::RoutesUpdate& update,
@@ -63,6 +75,7 @@
     table.dropped[key] = update.version();
   }
   table.version = update.version();
+  ApplyWarmupLimits(update, placement);
   UpdateRoutedServices(table, placement);
   return true;
 }
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -112,12 +112,34 @@
                     data_centre.region) != flow.regions.end());
 }
 
+/// Returns whether a new flow may be sent to the server: always, unless it is
+/// cold and its service has a limit (`limit` is not null).
+bool MayTakeFlow(const Placement& placement, ServerIndex index,
+                 const WarmupLimit* limit, TimePoint now) {
+  if (limit == nullptr) {
+    return true;
+  }
+  const PlacedServer& server = placement.servers[index];
+  return !IsCold(placement, server, *limit, now) ||
+         HasWarmupBudget(placement.warmup, index, server.incarnation, now);
+}
+
+/// Records that a new flow is sent to the server.
+void RecordWarmupFlow(Placement& placement, ServerIndex index,
+                      const WarmupLimit* limit, TimePoint now) {
+  if (limit != nullptr &&
+      IsCold(placement, placement.servers[index], *limit, now)) {
+    SpendWarmupBudget(placement.warmup, index, now);
+  }
+}
+
 /// Returns a failing server for a small random share of the flows whose
 /// requests may be retried, and otherwise no server. Each failing server gets
 /// one in `kFlowsPerProbe` of the flows that it would get if it were not
 /// failing.
 std::optional<ServerIndex> ChooseFailingServer(Placement& placement,
                                                const PlacementRequest& flow,
+                                               const WarmupLimit* limit,
                                                TimePoint now) {
   constexpr std::uint64_t kFlowsPerProbe = 12;
   const std::vector<ServerIndex>& failing =
@@ -135,7 +157,8 @@
   const PlacedServer& server = placement.servers[failing[draw]];
   const bool may_probe =
       !IsAvoided(server, now) &&
-      IsAllowed(flow, placement.data_centres[server.data_centre]);
+      IsAllowed(flow, placement.data_centres[server.data_centre]) &&
+      MayTakeFlow(placement, failing[draw], limit, now);
   return may_probe ? std::optional(failing[draw]) : std::nullopt;
 }
 
@@ -208,7 +231,8 @@
     placement.by_token.emplace(fresh.token, position->second);
   }
   PlacedServer& server = placement.servers[position->second];
-  if (record.incarnation() != server.incarnation) {
+  const bool restarted = record.incarnation() != server.incarnation;
+  if (restarted) {
     // The server has restarted and has none of its previous flows, so its
     // pending openings, avoidance and durations do not apply any more.
     server.incarnation = record.incarnation();
@@ -227,7 +251,16 @@
   server.data_centre = InternDataCentre(placement, record.data_centre());
   server.slots = std::max<std::uint32_t>(1, record.slots());
   server.local = record.data_centre() == placement.config.data_centre;
-  server.warmup_ends_at = now + Milliseconds(record.warmup_ms());
+  const TimePoint warmup_ends_at = now + Milliseconds(record.warmup_ms());
+  server.warmup_ends_at =
+      restarted ? warmup_ends_at
+                : std::max(server.warmup_ends_at, warmup_ends_at);
+  const WarmupLimit* limit = FindWarmupLimit(placement.warmup, server.service);
+  if (restarted && !added && limit != nullptr) {
+    // It has just started, also if its report does not say so.
+    server.warmup_ends_at =
+        std::max(server.warmup_ends_at, now + limit->duration);
+  }
   server.usable = record.phase() == wire::SERVER_READY && !record.silent();
   server.failing = record.failing();
 }
@@ -281,6 +314,14 @@
   }
 }
 
+bool IsCold(const Placement& placement, const PlacedServer& server,
+            const WarmupLimit& limit, TimePoint now) {
+  const TimePoint returned_at =
+      placement.data_centres[server.data_centre].returned_at;
+  return now < server.warmup_ends_at ||
+         (returned_at != TimePoint() && now < returned_at + limit.duration);
+}
+
 std::optional<ServerIndex> ChooseServer(Placement& placement,
                                         const PlacementRequest& flow,
                                         TimePoint now) {
@@ -292,7 +333,12 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  if (const auto failing = ChooseFailingServer(placement, flow, now)) {
+  const WarmupLimit* limit = FindWarmupLimit(placement.warmup, flow.service);
+  if (limit != nullptr) {
+    RecordWarmupDemand(placement.warmup, flow.service, now);
+  }
+  if (const auto failing = ChooseFailingServer(placement, flow, limit, now)) {
+    RecordWarmupFlow(placement, *failing, limit, now);
     return failing;
   }
   std::optional<ServerIndex> best;
@@ -306,8 +352,13 @@
   const std::size_t start =
       MixHash(placement.config.seed, placement.draw_count++) %
       candidates.size();
+  bool left_out = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const ServerIndex index = candidates[(start + i) % candidates.size()];
+    if (!MayTakeFlow(placement, index, limit, now)) {
+      left_out = true;
+      continue;
+    }
     const PlacedServer& server = placement.servers[index];
     const PlacedDataCentre& data_centre =
         placement.data_centres[server.data_centre];
@@ -325,9 +376,14 @@
       best_cost = cost;
     }
   }
+  if (left_out) {
+    RecordMissingBudget(placement.warmup, now);
+  }
   if (!best) {
+    placement.warmup.counters.refused += left_out ? 1 : 0;
     return std::nullopt;
   }
+  RecordWarmupFlow(placement, *best, limit, now);
   PlacedDataCentre& chosen =
       placement.data_centres[placement.servers[*best].data_centre];
   if (SeemsUnreachable(chosen)) {
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -12,6 +12,7 @@
 
 #include "Base/Endpoint.h"
 #include "Base/Time.h"
+#include "Warmup/WarmupBudget.h"
 #include "Wire/registry.pb.h"
 
 /// Load balancing: the choice of a backend server for each new flow.
@@ -103,6 +104,8 @@
   std::vector<bool> routed_by_service;
   /// Moving average of flow durations by service; 0 without a measurement.
   std::vector<double> mean_duration_ms_by_service;
+  /// Limits on new flows to cold servers, and the leases held on them.
+  WarmupBudget warmup;
   /// Random numbers drawn so far; input to the next one.
   std::uint64_t draw_count = 0;
 };
@@ -145,10 +148,17 @@
   std::span<const std::string> regions;
 };
 
+/// Returns whether the server warms up or its data centre has returned lately.
+/// Precondition: `limit` is that of the server's service.
+bool IsCold(const Placement& placement, const PlacedServer& server,
+            const WarmupLimit& limit, TimePoint now);
+
 /// Returns the server for a new flow; empty when the service has no usable
 /// server in the regions of the flow. `flow.except` is chosen only when all
 /// other servers are avoided. A failing server still gets a few flows whose
-/// requests may be retried, so that its recovery can be detected.
+/// requests may be retried, so that its recovery can be detected. A cold server
+/// of a service with a limit is chosen only within the budget of
+/// `placement.warmup`, and that is spent.
 std::optional<ServerIndex> ChooseServer(Placement& placement,
                                         const PlacementRequest& flow,
                                         TimePoint now);
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -56,9 +56,18 @@
   return "";
 }
 
-/// Returns whether `next` takes precedence over `known`.
-bool Supersedes(const wire::ServerRecord& next,
-                const wire::ServerRecord& known) {
+/// Returns whether a warm-up with `next` left is a new one for a server that had
+/// `remaining` left. Messages are under way for some time, so about as much is
+/// no new one.
+bool StartsAnew(Milliseconds next, Milliseconds remaining) {
+  constexpr Milliseconds kTolerance{1000};
+  return next - remaining > std::min(kTolerance, next / 2);
+}
+
+/// Returns whether `next` takes precedence over `server`.
+bool Supersedes(const wire::ServerRecord& next, const Server& server,
+                TimePoint now) {
+  const wire::ServerRecord& known = server.record;
   if (next.incarnation() != known.incarnation()) {
     return next.incarnation() > known.incarnation();
   }
@@ -68,7 +77,10 @@
   if (next.sequence() != known.sequence()) {
     return next.sequence() > known.sequence();
   }
-  return next.silent() != known.silent() || next.failing() != known.failing();
+  return next.silent() != known.silent() ||
+         next.failing() != known.failing() ||
+         StartsAnew(Milliseconds(next.warmup_ms()),
+                    RemainingWarmup(server, now));
 }
 
 /// Returns whether two records differ in a field that other instances must
@@ -91,14 +103,14 @@
   registry.ids_by_change.emplace(server.change, id);
 }
 
-std::uint32_t RemainingWarmup(const Server& server, TimePoint now) {
-  const std::int64_t remaining =
+}  // namespace
+
+Milliseconds RemainingWarmup(const Server& server, TimePoint now) {
+  const std::int64_t remaining_ms =
       server.record.warmup_ms() - MillisecondsBetween(server.updated_at, now);
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, remaining));
+  return Milliseconds(std::max<std::int64_t>(0, remaining_ms));
 }
 
-}  // namespace
-
 std::optional<InputError> CheckServerName(std::string_view text) {
   return CheckName(text, kMaxNameBytes);
 }
@@ -154,13 +166,19 @@
   Server& server = position->second;
   if (added) {
     server.heard_at = now;
-  } else if (!Supersedes(record, server.record)) {
+  } else if (!Supersedes(record, server, now)) {
     return false;
   }
   if (!record.silent()) {
     server.heard_at = std::max(server.heard_at, now);
   }
-  const bool differs = added || Differs(record, server.record);
+  const bool same_incarnation =
+      !added && record.incarnation() == server.record.incarnation();
+  const Milliseconds remaining =
+      same_incarnation ? RemainingWarmup(server, now) : Milliseconds(0);
+  const Milliseconds warmup(record.warmup_ms());
+  const bool differs = added || Differs(record, server.record) ||
+                       StartsAnew(warmup, remaining);
   if (!differs) {
     // The sequence number is stored so that older reports are rejected. Other
     // instances do not need it.
@@ -168,11 +186,27 @@
     return false;
   }
   server.record = record;
+  server.record.set_warmup_ms(
+      static_cast<std::uint32_t>(std::max(warmup, remaining).count()));
   server.updated_at = now;
   AssignNextChange(registry, record.id(), server);
   return true;
 }
 
+bool StartWarmup(Registry& registry, const std::string& id,
+                 Milliseconds duration, TimePoint now) {
+  const auto found = registry.servers.find(id);
+  if (found == registry.servers.end() ||
+      !StartsAnew(duration, RemainingWarmup(found->second, now))) {
+    return false;
+  }
+  Server& server = found->second;
+  server.record.set_warmup_ms(static_cast<std::uint32_t>(duration.count()));
+  server.updated_at = now;
+  AssignNextChange(registry, id, server);
+  return true;
+}
+
 void UpdateLastHeard(Registry& registry, const std::string& id, TimePoint now) {
   const auto server = registry.servers.find(id);
   if (server == registry.servers.end()) {
@@ -250,7 +284,8 @@
     }
     const Server& server = registry.servers.at(next->second);
     batch.records.push_back(server.record);
-    batch.records.back().set_warmup_ms(RemainingWarmup(server, now));
+    batch.records.back().set_warmup_ms(
+        static_cast<std::uint32_t>(RemainingWarmup(server, now).count()));
   }
   return batch;
 }
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -85,10 +85,20 @@
 
 /// Merges a record. Returns whether a field has changed that other instances
 /// must know. If not, at most `heard_at` and the sequence number are updated.
+/// A warm-up that starts anew, with clearly more time left than before, is such
+/// a change. Within an incarnation a merge never shortens a warm-up.
 /// Precondition: `CheckServerRecord` returns an empty string.
 bool MergeServerRecord(Registry& registry, const wire::ServerRecord& record,
                        TimePoint now);
 
+/// Starts the warm-up of a server anew, with `duration` left. Returns whether
+/// that is a change; not when about as much time is left. Ignores unknown ids.
+bool StartWarmup(Registry& registry, const std::string& id,
+                 Milliseconds duration, TimePoint now);
+
+/// Returns the warm-up time that a server has left.
+Milliseconds RemainingWarmup(const Server& server, TimePoint now);
+
 /// Records that a server reported to another control instance, and clears its
 /// silent mark. Ignores unknown ids.
 void UpdateLastHeard(Registry& registry, const std::string& id, TimePoint now);
--- a/Source/Rules/Rules.cc
+++ b/Source/Rules/Rules.cc
@@ -2,6 +2,11 @@
 
 namespace filbertwall {
 
+bool HaveSameLimit(const WarmupRule& left, const WarmupRule& right) {
+  return left.duration == right.duration &&
+         left.flows_per_second == right.flows_per_second;
+}
+
 const ServiceRule* FindServiceByHost(const Rules& rules,
                                      const std::string& host) {
   const auto by_name = rules.services.find(host);
--- a/Source/Rules/Rules.h
+++ b/Source/Rules/Rules.h
@@ -34,6 +34,16 @@
   std::string requester;  ///< The NAME in the comment `# by: NAME`.
 };
 
+/// Limit on the new flows to each backend server of a service while it warms
+/// up.
+struct WarmupRule {
+  Milliseconds duration{0};     ///< Length of a warm-up.
+  double flows_per_second = 0;  ///< 0: no limit.
+  /// As written, for clients that read the rules; empty when left out.
+  std::string duration_word;
+  std::string rate_word;
+};
+
 /// Properties of a service that do not affect server selection. They are stored
 /// and returned to clients that read the rules.
 struct ServiceDetails {
@@ -49,6 +59,7 @@
   Protocol protocol = Protocol::kHttp;
   Preference preference = Preference::kStability;
   ServiceDetails details;
+  WarmupRule warmup;
   Origin origin;
 };
 
@@ -144,6 +155,9 @@
   BoundsRule bounds;
 };
 
+/// Returns whether two rules set the same limit, however it is written.
+bool HaveSameLimit(const WarmupRule& left, const WarmupRule& right);
+
 /// Returns the service whose name or address equals a request's Host header, or
 /// null.
 const ServiceRule* FindServiceByHost(const Rules& rules,
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -1,6 +1,7 @@
 #include "Rules/RulesParser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -128,6 +129,46 @@
   target = *duration;
 }
 
+/// Parses a duration of up to an hour, also seconds with a fraction.
+std::optional<Milliseconds> ParseWarmupDuration(std::string_view text) {
+  constexpr double kMaxSeconds = 3600;
+  constexpr double kMillisecondsPerSecond = 1000;
+  if (text.ends_with("ms") || !text.ends_with("s")) {
+    return ParseDuration(text);
+  }
+  text.remove_suffix(1);
+  const auto seconds = ParseDecimal(text, 0, kMaxSeconds);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return Milliseconds(
+      static_cast<std::int64_t>(std::ceil(*seconds * kMillisecondsPerSecond)));
+}
+
+/// Reads the limit on new flows to a server that warms up.
+void ReadWarmupOptions(Parser& parser, const Options& options,
+                       WarmupRule& warmup) {
+  constexpr double kMaxFlowsPerSecond = 1000000;
+  ReadTextOption(options, "warmup", warmup.duration_word);
+  ReadTextOption(options, "warmup-rate", warmup.rate_word);
+  if (options.contains("warmup")) {
+    const auto duration = ParseWarmupDuration(warmup.duration_word);
+    if (!duration) {
+      Report(parser, "warmup=" + warmup.duration_word,
+             "a duration from 0s to 3600s");
+    }
+    warmup.duration = duration.value_or(Milliseconds(0));
+  }
+  if (options.contains("warmup-rate")) {
+    const auto rate = ParseDecimal(warmup.rate_word, 0, kMaxFlowsPerSecond);
+    if (!rate) {
+      Report(parser, "warmup-rate=" + warmup.rate_word,
+             "a number from 0 to 1000000, also with a fraction");
+    }
+    warmup.flows_per_second = rate.value_or(0);
+  }
+}
+
 bool HasMinWords(Parser& parser, const std::vector<std::string>& words,
                  std::size_t count, const std::string& syntax) {
   if (words.size() >= count) {
@@ -167,12 +208,13 @@
 void ParseService(Parser& parser, const std::vector<std::string>& words) {
   if (!HasMinWords(parser, words, 2,
                    "service NAME [protocol=http|packets] "
-                   "[prefer=stability|balance]")) {
+                   "[prefer=stability|balance] [warmup=] [warmup-rate=]")) {
     return;
   }
   const Options options = ParseOptions(
       parser, words, 2,
-      {"protocol", "prefer", "health", "application", "flows", "tls"});
+      {"protocol", "prefer", "health", "application", "flows", "tls", "warmup",
+       "warmup-rate"});
   ServiceRule rule{.name = words[1], .origin = parser.origin};
   ReadTextOption(options, "health", rule.details.health_path);
   ReadTextOption(options, "application", rule.details.application);
@@ -180,6 +222,7 @@
                    rule.details.flow_limit);
   ReadChoiceOption<bool>(parser, options, "tls", {{"yes", true}, {"no", false}},
                          rule.details.tls);
+  ReadWarmupOptions(parser, options, rule.warmup);
   ReadChoiceOption<Protocol>(
       parser, options, "protocol",
       {{"http", Protocol::kHttp}, {"packets", Protocol::kPackets}},
@@ -193,7 +236,8 @@
   const ServiceRule& first = position->second;
   if (!added &&
       (first.protocol != rule.protocol || first.preference != rule.preference ||
-       first.details != rule.details)) {
+       first.details != rule.details ||
+       !HaveSameLimit(first.warmup, rule.warmup))) {
     ReportConflict(parser, first.origin);
   }
 }
--- /dev/null
+++ b/Source/Warmup/WarmupBudget.cc
@@ -0,0 +1,133 @@
+#include "Warmup/WarmupBudget.h"
+
+#include <algorithm>
+
+namespace filbertwall {
+namespace {
+
+constexpr Milliseconds kSecond{1000};
+constexpr std::uint32_t kMaxDemand = 1'000'000;
+
+bool IsValid(const WarmupBudget& budget, const WarmupServerBudget& lease,
+             TimePoint now) {
+  return now < lease.requested_at + budget.timing.lease;
+}
+
+/// Returns the flows a second since the last request, rounded up.
+std::uint32_t MeasureDemand(const WarmupBudget& budget, std::uint32_t flows,
+                            TimePoint now) {
+  const std::int64_t elapsed_ms = std::clamp<std::int64_t>(
+      MillisecondsBetween(budget.last_request_at, now),
+      kMinWarmupRequestInterval.count(), kSecond.count());
+  const std::int64_t flows_per_second =
+      (flows * kSecond.count() + elapsed_ms - 1) / elapsed_ms;
+  return static_cast<std::uint32_t>(
+      std::min<std::int64_t>(flows_per_second, kMaxDemand));
+}
+
+}  // namespace
+
+void SetWarmupLimits(WarmupBudget& budget, std::vector<WarmupLimit> limits) {
+  const bool any_limit = std::any_of(
+      limits.begin(), limits.end(),
+      [](const WarmupLimit& limit) { return limit.flows_per_second > 0; });
+  if (!any_limit) {
+    budget.limits.clear();
+    budget.demands.clear();
+    budget.next_request_at = TimePoint::max();
+    return;
+  }
+  budget.demands.resize(limits.size());
+  budget.limits = std::move(limits);
+}
+
+bool HasWarmupBudget(const WarmupBudget& budget, std::uint32_t server,
+                     std::uint64_t incarnation, TimePoint now) {
+  const auto found = budget.servers.find(server);
+  if (found == budget.servers.end()) {
+    return false;
+  }
+  const WarmupServerBudget& lease = found->second;
+  if (lease.incarnation != incarnation || lease.flows_per_second == 0 ||
+      !IsValid(budget, lease, now)) {
+    return false;
+  }
+  if (lease.sent.size() < lease.flows_per_second) {
+    return true;
+  }
+  // The earliest of as many flows as the lease allows must have left the
+  // window.
+  const TimePoint earliest =
+      lease.sent[lease.sent.size() - lease.flows_per_second];
+  return earliest + budget.timing.window <= now;
+}
+
+void SpendWarmupBudget(WarmupBudget& budget, std::uint32_t server,
+                       TimePoint now) {
+  std::deque<TimePoint>& sent = budget.servers.at(server).sent;
+  while (!sent.empty() && sent.front() + budget.timing.window <= now) {
+    sent.pop_front();
+  }
+  sent.push_back(now);
+  budget.counters.placed += 1;
+}
+
+void RecordWarmupDemand(WarmupBudget& budget, std::uint32_t service,
+                        TimePoint now) {
+  WarmupServiceDemand& demand = budget.demands[service];
+  demand.flows += 1;
+  demand.last_flow_at = now;
+}
+
+void RecordMissingBudget(WarmupBudget& budget, TimePoint now) {
+  const TimePoint earliest =
+      std::max(now, budget.last_request_at + kMinWarmupRequestInterval);
+  budget.next_request_at = std::min(budget.next_request_at, earliest);
+}
+
+void TakeWarmupLease(WarmupBudget& budget, std::uint32_t server,
+                     std::uint64_t incarnation, std::uint32_t flows_per_second,
+                     TimePoint requested_at, TimePoint now) {
+  const bool expired = now >= requested_at + budget.timing.lease;
+  if (expired || requested_at > now) {
+    return;
+  }
+  WarmupServerBudget& lease = budget.servers[server];
+  if (requested_at < lease.requested_at) {
+    return;
+  }
+  lease.incarnation = incarnation;
+  lease.flows_per_second = flows_per_second;
+  lease.requested_at = requested_at;
+  budget.counters.leases += 1;
+}
+
+std::vector<WarmupDemandItem> TakeWarmupDemand(WarmupBudget& budget,
+                                               TimePoint now) {
+  std::vector<WarmupDemandItem> items;
+  for (std::uint32_t service = 0; service < budget.demands.size(); ++service) {
+    WarmupServiceDemand& demand = budget.demands[service];
+    const std::uint32_t measured = MeasureDemand(budget, demand.flows, now);
+    demand.flows = 0;
+    demand.flows_per_second =
+        std::max({measured, demand.flows_per_second / 2, 1U});
+    const bool recent = demand.last_flow_at != TimePoint() &&
+                        now < demand.last_flow_at + kWarmupDemandLifetime;
+    if (recent && now < demand.cold_until &&
+        FindWarmupLimit(budget, service) != nullptr) {
+      items.push_back(WarmupDemandItem{
+          .service = service, .flows_per_second = demand.flows_per_second});
+    }
+  }
+  return items;
+}
+
+std::uint64_t CountLeasedFlows(const WarmupBudget& budget, TimePoint now) {
+  std::uint64_t total = 0;
+  for (const auto& [server, lease] : budget.servers) {
+    total += IsValid(budget, lease, now) ? lease.flows_per_second : 0;
+  }
+  return total;
+}
+
+}  // namespace filbertwall
