--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -401,8 +401,8 @@
     context.effects.emplace_back(record);
   }
   ApplyRoutesUpdate(context, update);
-  ScheduleWarmupRequest(instance.forwarder.placement, servers_changed,
-                        context.now);
+  PrepareWarmupRequest(instance.forwarder.placement, servers_changed,
+                       context.now);
   ConfirmRules(context, update);
   RequestMissingContents(context, from, update);
   if (update.fresh()) {
--- a/Source/Fleet/WarmupRequests.cc
+++ b/Source/Fleet/WarmupRequests.cc
@@ -76,14 +76,14 @@
 
 }  // namespace
 
-void ScheduleWarmupRequest(Placement& placement, bool servers_changed,
-                           TimePoint now) {
+void PrepareWarmupRequest(Placement& placement, bool servers_changed,
+                          TimePoint now) {
   WarmupBudget& budget = placement.warmup;
   if (budget.limits.empty()) {
     return;
   }
   if (servers_changed || budget.next_request_at == TimePoint::max()) {
-    RecordMissingBudget(budget, now);
+    ScheduleWarmupRequest(budget, kMinWarmupRequestInterval, now);
   }
 }
 
@@ -99,13 +99,13 @@
   budget.next_request_at = now + kWarmupRequestInterval;
   UpdateColdUntil(placement);
   const std::vector<WarmupDemandItem> demands = TakeWarmupDemand(budget, now);
-  budget.last_request_at = now;
   if (demands.empty()) {
     requester.unanswered_since = TimePoint::max();
     return result;
   }
   requester.unanswered_since = std::min(requester.unanswered_since, now);
   LogProblems(requester, budget, now, result.records);
+  budget.last_request_at = now;
   if (requester.leader == 0) {
     return result;
   }
--- a/Source/Fleet/WarmupRequests.h
+++ b/Source/Fleet/WarmupRequests.h
@@ -30,8 +30,8 @@
 
 /// Schedules the first request after a service got a limit, and one soon after
 /// servers have changed.
-void ScheduleWarmupRequest(Placement& placement, bool servers_changed,
-                           TimePoint now);
+void PrepareWarmupRequest(Placement& placement, bool servers_changed,
+                          TimePoint now);
 
 /// Builds the request for leases if it is due, and there are cold servers and
 /// demand. `incarnation` is that of this instance.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -377,7 +377,7 @@
     }
   }
   if (left_out) {
-    RecordMissingBudget(placement.warmup, now);
+    ScheduleWarmupRequest(placement.warmup, kWarmupRequestInterval, now);
   }
   if (!best) {
     placement.warmup.counters.refused += left_out ? 1 : 0;
--- a/Source/Warmup/WarmupBudget.cc
+++ b/Source/Warmup/WarmupBudget.cc
@@ -13,11 +13,11 @@
   return now < lease.requested_at + budget.timing.lease;
 }
 
-/// Returns the flows a second since the last request, rounded up.
+/// Returns the flows a second since the demand was last taken, rounded up.
 std::uint32_t MeasureDemand(const WarmupBudget& budget, std::uint32_t flows,
                             TimePoint now) {
   const std::int64_t elapsed_ms = std::clamp<std::int64_t>(
-      MillisecondsBetween(budget.last_request_at, now),
+      MillisecondsBetween(budget.demand_taken_at, now),
       kMinWarmupRequestInterval.count(), kSecond.count());
   const std::int64_t flows_per_second =
       (flows * kSecond.count() + elapsed_ms - 1) / elapsed_ms;
@@ -79,9 +79,9 @@
   demand.last_flow_at = now;
 }
 
-void RecordMissingBudget(WarmupBudget& budget, TimePoint now) {
-  const TimePoint earliest =
-      std::max(now, budget.last_request_at + kMinWarmupRequestInterval);
+void ScheduleWarmupRequest(WarmupBudget& budget, Milliseconds interval,
+                           TimePoint now) {
+  const TimePoint earliest = std::max(now, budget.last_request_at + interval);
   budget.next_request_at = std::min(budget.next_request_at, earliest);
 }
 
@@ -119,6 +119,7 @@
           .service = service, .flows_per_second = demand.flows_per_second});
     }
   }
+  budget.demand_taken_at = now;
   return items;
 }
 
--- a/Source/Warmup/WarmupBudget.h
+++ b/Source/Warmup/WarmupBudget.h
@@ -15,7 +15,7 @@
 
 /// Interval between two requests for leases.
 inline constexpr Milliseconds kWarmupRequestInterval{400};
-/// Minimum time between two requests, when a flow finds cold servers only.
+/// Minimum time between two requests, when servers have changed.
 inline constexpr Milliseconds kMinWarmupRequestInterval{100};
 /// Leases are requested for this long after the last flow of a service. Shorter
 /// ones would leave an instance with few flows without a lease for each of
@@ -53,6 +53,7 @@
   std::vector<WarmupServiceDemand> demands;  ///< By service, as `limits`.
   std::unordered_map<std::uint32_t, WarmupServerBudget> servers;
   TimePoint last_request_at;
+  TimePoint demand_taken_at;  ///< Last `TakeWarmupDemand`.
   /// `TimePoint::max()` when no service has a limit.
   TimePoint next_request_at = TimePoint::max();
   WarmupCounters counters;
@@ -89,9 +90,10 @@
 void RecordWarmupDemand(WarmupBudget& budget, std::uint32_t service,
                         TimePoint now);
 
-/// Records that a cold server was left out for lack of budget: leases are
-/// requested soon.
-void RecordMissingBudget(WarmupBudget& budget, TimePoint now);
+/// Makes the next request due at once, but not before `interval` has passed
+/// since the last one.
+void ScheduleWarmupRequest(WarmupBudget& budget, Milliseconds interval,
+                           TimePoint now);
 
 /// Takes a lease. Ignores it when it has expired, when its request lies in the
 /// future, or when a later one was taken.
--- a/Source/Warmup/WarmupLeases.cc
+++ b/Source/Warmup/WarmupLeases.cc
@@ -23,7 +23,9 @@
 void ChangeServer(WarmupPool& pool, const std::string& id, LeasedServer& server,
                   Change change) {
   pool.free.erase({FreePart(server), id});
+  pool.total_free -= FreePart(server);
   change(server);
+  pool.total_free += FreePart(server);
   if (FreePart(server) > 0) {
     pool.free.emplace(FreePart(server), id);
   }
@@ -61,6 +63,7 @@
   });
   pool.lease_ends.emplace_back(held_until, std::pair(holder, id));
   pool.holders[holder].servers.insert(id);
+  pool.waiting.erase(holder);
 }
 
 /// Removes the leases of a holder on a server that have ended by `now`.
@@ -84,7 +87,11 @@
     return;
   }
   server.held.erase(holder);
-  pool.holders[holder].servers.erase(id);
+  WarmupHolderState& state = pool.holders[holder];
+  state.servers.erase(id);
+  if (state.servers.empty() && state.demand > 0) {
+    pool.waiting.insert(holder);
+  }
   if (server.held.empty() && server.limit == 0) {
     pool.servers.erase(found);
   }
@@ -115,6 +122,7 @@
     }
     pool.total_demand -= found->second.demand;
     found->second.demand = 0;
+    pool.waiting.erase(holder);
     RemoveIfIdle(pool, holder);
   }
 }
@@ -125,21 +133,28 @@
   pool.total_demand = pool.total_demand - state.demand + demand;
   state.demand = demand;
   state.demanded_at = now;
+  if (state.servers.empty()) {
+    pool.waiting.insert(holder);
+  }
   pool.demand_ends.emplace_back(now + kDemandLifetime, holder);
 }
 
 /// Returns how many flows a second the holder is to be granted: what it can
 /// use, or its share when the demands exceed the limits.
 std::uint64_t TargetOf(const WarmupPool& pool, const WarmupTiming& timing,
-                       std::uint32_t demand) {
+                       const WarmupHolder& holder, std::uint32_t demand) {
   // A lease of one flow a second allows one flow a window.
   const auto window_ms = static_cast<std::uint64_t>(timing.window.count());
   constexpr std::uint64_t kSecondMs = 1000;
   const std::uint64_t usable = std::max<std::uint64_t>(
       1, (demand * window_ms + kSecondMs - 1) / kSecondMs);
+  const std::uint64_t others_waiting =
+      pool.waiting.size() - (pool.waiting.contains(holder) ? 1 : 0);
+  const bool round_up = pool.total_free > others_waiting || others_waiting == 0;
+  const std::uint64_t rounding = round_up ? pool.total_demand - 1 : 0;
   const std::uint64_t share =
-      (pool.total_limit * demand + pool.total_demand - 1) / pool.total_demand;
-  return std::min(usable, share);
+      (pool.total_limit * demand + rounding) / pool.total_demand;
+  return std::min(usable, std::max<std::uint64_t>(1, share));
 }
 
 }  // namespace
@@ -196,7 +211,7 @@
   RecordDemand(pool, holder, demand, now);
   const TimePoint held_until =
       now + leases.timing.lease + leases.timing.hold;
-  std::uint64_t missing = TargetOf(pool, leases.timing, demand);
+  std::uint64_t missing = TargetOf(pool, leases.timing, holder, demand);
   const auto grant = [&](const std::string& id, std::uint64_t limit) {
     LeasedServer& server = pool.servers.at(id);
     const auto flows_per_second = static_cast<std::uint32_t>(
--- a/Source/Warmup/WarmupLeases.h
+++ b/Source/Warmup/WarmupLeases.h
@@ -67,6 +67,9 @@
   std::deque<std::pair<TimePoint, std::pair<WarmupHolder, std::string>>>
       lease_ends;
   std::deque<std::pair<TimePoint, WarmupHolder>> demand_ends;
+  /// Holders with demand and without any lease.
+  std::set<WarmupHolder> waiting;
+  std::uint64_t total_free = 0;  ///< Sum of the parts in `free`.
   std::uint64_t total_limit = 0;
   std::uint64_t total_demand = 0;
 };
@@ -92,7 +95,8 @@
 
 /// Grants leases on the cold servers of a service to an instance that wants to
 /// send `demand` flows a second: in proportion to the demands of all, at least
-/// one flow a second if any is left. Leases that it holds are renewed first.
+/// one flow a second if any is left. Leases that it holds are renewed first;
+/// those beyond its share only while no other instance waits for its first.
 /// Precondition: `now` does not decrease between calls.
 std::vector<GrantedLease> GrantWarmupLeases(WarmupLeases& leases,
                                             const std::string& service,
--- a/Tests/Distribution/ReceivedRecordsTest.cc
+++ b/Tests/Distribution/ReceivedRecordsTest.cc
@@ -102,3 +102,41 @@
   CHECK_EQUAL(0, ReadUpdate(update).total);
   LONGS_EQUAL(kRoutes, update.routes().set_size());
 }
+
+// Guards against a damaged limit that lifts it.
+TEST(ReceivedRecords, AWarmupLimitThatCannotBeReadBecomesTheStrictest) {
+  wire::Update update = MakeUpdate();
+  for (const std::uint32_t flows_per_second : {0U, 5U, 2'000'000U}) {
+    wire::ServiceWarmup& item = *update.mutable_routes()->add_services();
+    item.set_service("proof");
+    item.set_flows_per_second(flows_per_second);
+    item.set_warmup_ms(std::numeric_limits<std::uint32_t>::max());
+  }
+  update.mutable_routes()->add_services()->set_flows_per_second(5);
+  this->set_aside = ReadUpdate(update);
+  CHECK_EQUAL(4, this->set_aside.total);
+  LONGS_EQUAL(3, update.routes().services_size());
+  for (const wire::ServiceWarmup& item : update.routes().services()) {
+    LONGS_EQUAL(1, item.flows_per_second());
+    LONGS_EQUAL(3'600'000, item.warmup_ms());
+  }
+}
+
+TEST(ReceivedRecords, OddWarmupDemandsAndLeasesAreSetAside) {
+  wire::WarmupRequest request;
+  request.add_demands()->set_service("proof");
+  wire::WarmupDemand& demand = *request.add_demands();
+  demand.set_service("proof");
+  demand.set_flows_per_second(3);
+  request.add_demands()->set_flows_per_second(3);
+  CheckWarmupRequest(request, this->set_aside);
+  LONGS_EQUAL(1, request.demands_size());
+  wire::WarmupGrant grant;
+  grant.add_leases()->set_server("i-1");
+  wire::WarmupLease& lease = *grant.add_leases();
+  lease.set_server("i-1");
+  lease.set_flows_per_second(std::numeric_limits<std::uint32_t>::max());
+  CheckWarmupGrant(grant, this->set_aside);
+  LONGS_EQUAL(1, grant.leases_size());
+  CHECK_EQUAL(3, this->set_aside.total);
+}
--- a/Tests/Distribution/RouteHistoryTest.cc
+++ b/Tests/Distribution/RouteHistoryTest.cc
@@ -65,3 +65,30 @@
   STRCMP_EQUAL("", update.set(0).shares(0).service().c_str());
   STRCMP_EQUAL("proof", update.set(1).shares(0).service().c_str());
 }
+
+TEST(RouteHistory, NamesServicesWithAWarmupLimit) {
+  Rules rules = MakeRules(3, 1, 1, 900);
+  rules.services["fast"].warmup = {.duration = Milliseconds(7500),
+                                   .flows_per_second = 2.9};
+  rules.services["slow"].warmup = {.duration = Milliseconds(7500),
+                                   .flows_per_second = 0.1};
+  rules.services["free"].warmup = {.duration = Milliseconds(7500)};
+  AddVersion(this->history, rules);
+  const wire::RoutesUpdate update = RoutesSince(this->history, 0);
+  LONGS_EQUAL(2, update.services_size());
+  STRCMP_EQUAL("fast", update.services(0).service().c_str());
+  LONGS_EQUAL(7500, update.services(0).warmup_ms());
+  LONGS_EQUAL(2, update.services(0).flows_per_second());
+  LONGS_EQUAL(1, update.services(1).flows_per_second());
+}
+
+// Guards against bytes for all who do not use the limit.
+TEST(RouteHistory, AServiceWithoutALimitAddsNoByte) {
+  RouteHistory plain;
+  AddVersion(plain, MakeRules(3, 1, 10, 900));
+  Rules rules = MakeRules(3, 1, 10, 900);
+  rules.services["free"].warmup.duration = Milliseconds(7500);
+  AddVersion(this->history, rules);
+  CHECK_EQUAL(RoutesSince(plain, 0).SerializeAsString().size(),
+              RoutesSince(this->history, 0).SerializeAsString().size());
+}
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -321,3 +321,53 @@
   this->Add(MakeRecord("a1", 1, "there", 2));
   STRCMP_EQUAL("a1", this->Choose().c_str());
 }
+
+// Guards against flows to a cold server beyond its leases, and against a limit
+// on servers that are warm.
+TEST(Placement, AColdServerOfALimitedServiceNeedsBudget) {
+  wire::ServerRecord cold = MakeRecord("a1", 1, "here");
+  cold.set_warmup_ms(5000);
+  this->Add(cold);
+  SetWarmupLimits(this->placement.warmup,
+                  {{.duration = Milliseconds(5000), .flows_per_second = 2}});
+  STRCMP_EQUAL("", this->Choose().c_str());
+  CHECK_EQUAL(1, this->placement.warmup.counters.refused);
+  TakeWarmupLease(this->placement.warmup, this->Index("a1"), 1, 2, kStart,
+                  kStart);
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+  STRCMP_EQUAL("", this->Choose().c_str());
+  this->Add(MakeRecord("a2", 2, "here"));
+  for (int i = 0; i < 10; ++i) {
+    STRCMP_EQUAL("a2", this->Choose().c_str());
+  }
+  this->Server("a2").in_flight = 100;
+  STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(5000)).c_str());
+}
+
+// Guards against the probes of failing servers, which are chosen by chance.
+TEST(Placement, AFailingColdServerNeedsBudget) {
+  wire::ServerRecord cold = MakeRecord("a1", 1, "here");
+  cold.set_warmup_ms(5000);
+  cold.set_failing(true);
+  this->Add(cold);
+  this->Add(MakeRecord("a2", 2, "here"));
+  SetWarmupLimits(this->placement.warmup,
+                  {{.duration = Milliseconds(5000), .flows_per_second = 2}});
+  for (int i = 0; i < 500; ++i) {
+    const auto index =
+        ChooseServer(this->placement, {.retryable = true}, kStart);
+    CHECK_TRUE(index == this->Index("a2"));
+  }
+}
+
+// Guards against a restarted server whose report says nothing of a warm-up.
+TEST(Placement, ANewIncarnationOfALimitedServiceIsCold) {
+  this->Add(MakeRecord("a1", 1, "here"));
+  SetWarmupLimits(this->placement.warmup,
+                  {{.duration = Milliseconds(5000), .flows_per_second = 2}});
+  STRCMP_EQUAL("a1", this->Choose().c_str());
+  this->Add(MakeRecord("a1", 1, "here", 2));
+  STRCMP_EQUAL("", this->Choose().c_str());
+  STRCMP_EQUAL("a1", this->Choose(kStart + Milliseconds(5000)).c_str());
+}
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -332,3 +332,45 @@
     CHECK(IsRejected(document));
   }
 }
+
+TEST(ConfigDocument, WarmupLimitsAreReadBackAsSent) {
+  const std::vector<std::pair<const char*, const char*>> cases = {
+      {"10.0", "2.0"}, {"0.0", "0.0"},  {"7.5", "0.25"},     {"8", "3"},
+      {"3600", "1e6"}, {"0", "1e-07"}, {"12.125", "1000000"}};
+  for (const auto& [duration, rate] : cases) {
+    Json document = MakeDocument();
+    document["Services"][0]["WarmupS"] = Json::parse(duration);
+    document["Services"][0]["WarmupPerS"] = Json::parse(rate);
+    const auto file = ReadDocument(document.dump());
+    CHECK(file.has_value());
+    LONGS_EQUAL(0, ParseRules(file.value().text(), "rules").findings.size());
+    const Json round_trip = Json::parse(WriteDocument(file.value()));
+    STRCMP_EQUAL(SortLists(document).dump().c_str(),
+                 SortLists(round_trip).dump().c_str());
+  }
+}
+
+TEST(ConfigDocument, WarmupLimitsOutOfRangeAreRejected) {
+  for (const char* value :
+       {"-1", "-0.001", "3600.5", "1e300", "\"5\"", "null", "true", "[1]"}) {
+    Json document = MakeDocument();
+    document["Services"][0]["WarmupS"] = Json::parse(value);
+    CHECK(IsRejected(document));
+  }
+  for (const char* value :
+       {"-1", "-2.0", "1000000.5", "1e300", "\"2\"", "null", "false", "{}"}) {
+    Json document = MakeDocument();
+    document["Services"][0]["WarmupPerS"] = Json::parse(value);
+    CHECK(IsRejected(document));
+  }
+}
+
+TEST(ConfigDocument, WarmupLimitsOfARulesFileAreReadBack) {
+  wire::RulesFile file;
+  file.set_text(
+      "version 7  # by: test\n"
+      "service proof warmup=7500ms warmup-rate=.5  # by: test\n");
+  const Json document = Json::parse(WriteDocument(file));
+  DOUBLES_EQUAL(7.5, document["Services"][0]["WarmupS"].get<double>(), 0);
+  DOUBLES_EQUAL(0.5, document["Services"][0]["WarmupPerS"].get<double>(), 0);
+}
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -239,3 +239,45 @@
     CHECK_EQUAL(wire::SERVER_GONE, CurrentRecord(shuffled).phase());
   }
 }
+
+// Guards against a warm-up that starts anew and that no other instance hears
+// of: the record differs in nothing else.
+TEST(Registry, AWarmupThatStartsAnewIsAChange) {
+  wire::ServerRecord record = MakeRecord(5, 1);
+  record.set_warmup_ms(8000);
+  MergeServerRecord(this->registry, record, kStart);
+  record.set_sequence(2);
+  record.set_warmup_ms(5900);  // 2 s later, and 100 ms on the way.
+  CHECK_FALSE(
+      MergeServerRecord(this->registry, record, kStart + Milliseconds(2100)));
+  record.set_sequence(3);
+  record.set_warmup_ms(8000);
+  CHECK(
+      MergeServerRecord(this->registry, record, kStart + Milliseconds(4000)));
+  CHECK_EQUAL(2, this->registry.change);
+  // Also with the sequence number that is known, as control instances start
+  // warm-ups by themselves.
+  CHECK(
+      MergeServerRecord(this->registry, record, kStart + Milliseconds(9000)));
+  CHECK_EQUAL(8000, RemainingWarmup(this->registry.servers.at("i-1"),
+                                    kStart + Milliseconds(9000))
+                        .count());
+}
+
+// Guards against a record with another change that ends a warm-up which the
+// server does not know of.
+TEST(Registry, AMergeDoesNotShortenAWarmup) {
+  MergeServerRecord(this->registry, MakeRecord(5, 1), kStart);
+  CHECK(StartWarmup(this->registry, "i-1", Milliseconds(8000), kStart));
+  CHECK_FALSE(StartWarmup(this->registry, "i-1", Milliseconds(8000),
+                          kStart + Milliseconds(500)));
+  CHECK(MergeServerRecord(this->registry,
+                          MakeRecord(5, 2, wire::SERVER_DRAINING),
+                          kStart + Milliseconds(3000)));
+  CHECK_EQUAL(5000, RemainingWarmup(this->registry.servers.at("i-1"),
+                                    kStart + Milliseconds(3000))
+                        .count());
+  MergeServerRecord(this->registry, MakeRecord(6, 1),
+                    kStart + Milliseconds(3000));
+  CHECK_EQUAL(0, CurrentRecord(this->registry).warmup_ms());
+}
--- a/Tests/Warmup/WarmupBudgetTest.cc
+++ b/Tests/Warmup/WarmupBudgetTest.cc
@@ -138,12 +138,14 @@
   for (int i = 0; i < 4; ++i) {
     RecordWarmupDemand(this->budget, 0, kStart);
   }
-  this->budget.last_request_at = kStart - Milliseconds(400);
+  this->budget.demand_taken_at = kStart - Milliseconds(400);
   CHECK_TRUE(TakeWarmupDemand(this->budget, kStart).empty());
   this->budget.demands[0].cold_until = kStart + std::chrono::hours(1);
   this->budget.demands[1].cold_until = kStart + std::chrono::hours(1);
   RecordWarmupDemand(this->budget, 0, kStart);
   RecordWarmupDemand(this->budget, 0, kStart);
+  this->budget.demand_taken_at = kStart - Milliseconds(400);
+  this->budget.demands[0].flows_per_second = 0;
   const auto demands = TakeWarmupDemand(this->budget, kStart);
   LONGS_EQUAL(1, demands.size());
   LONGS_EQUAL(0, demands[0].service);
