--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -610,9 +610,11 @@
       const InstanceAddress control = 1 + draw(5);
       switch (draw(7)) {
         case 0:
-          // An instance that is cut off can't know that a server has started.
+          // An instance that is cut off can't know that a server has started,
+          // so nothing starts then, nor is anything cut off before all know.
           if (!cut) {
             RestartServers(test, static_cast<int>(draw(5)), 2);
+            RunWithFlows(test, kAnnouncementTime);
           }
           break;
         case 1:
@@ -622,7 +624,9 @@
           }
           break;
         case 2:
-          Freeze(test, entry);
+          if (!cut) {
+            Freeze(test, entry);
+          }
           break;
         case 3:
           while (!test.frozen.empty()) {
@@ -630,8 +634,10 @@
           }
           break;
         case 4:
-          CutOff(test, {entry, control});
-          cut = true;
+          if (test.frozen.empty()) {
+            CutOff(test, {entry, control});
+            cut = true;
+          }
           break;
         case 5:
           Reconnect(test);
