--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -82,6 +82,35 @@
   AddGauge(samples, "servers", help, silent, "silent");
 }
 
+void AddWarmupMetrics(Samples& samples, const Placement& placement,
+                      TimePoint now) {
+  const WarmupBudget& budget = placement.warmup;
+  const std::string help =
+      "New flows of services with a warm-up limit, by what was decided.";
+  AddCounter(samples, "warmup_flows_total", help, budget.counters.placed,
+             "placed");
+  AddCounter(samples, "warmup_flows_total", help, budget.counters.refused,
+             "refused");
+  AddGauge(samples, "warmup_leased_flows",
+           "New flows a second to cold servers that valid leases allow here.",
+           static_cast<double>(CountLeasedFlows(budget, now)));
+}
+
+void AddWarmupMetrics(Samples& samples, const WarmupGrants& grants) {
+  const std::string help = "Requests for leases on warm-up limits.";
+  AddCounter(samples, "warmup_requests_total", help, grants.counters.granted,
+             "answered");
+  AddCounter(samples, "warmup_requests_total", help, grants.counters.refused,
+             "ignored");
+  const WarmupTotals totals = SumWarmupLeases(grants.leases);
+  AddGauge(samples, "warmup_leased_flows",
+           "New flows a second to cold servers that are leased.",
+           static_cast<double>(totals.leased));
+  AddGauge(samples, "warmup_cold_servers",
+           "Cold servers with a limit that were asked for.",
+           static_cast<double>(totals.cold_servers));
+}
+
 }  // namespace
 
 std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
@@ -149,6 +178,7 @@
   AddGauge(samples, "servers_avoided",
            "Backend servers left out because they did not answer.",
            static_cast<double>(avoided));
+  AddWarmupMetrics(samples, instance.forwarder.placement, now);
   AddGauge(samples, "rules_version", "Version of the rules in force.",
            static_cast<double>(instance.forwarder.routes.version));
   AddGauge(samples, "rules_age_seconds",
@@ -189,6 +219,7 @@
            instance.disk_failed ? 1 : 0);
   AddGauge(samples, "subscribers", "Instances that are told of changes.",
            static_cast<double>(instance.subscribers.size()));
+  AddWarmupMetrics(samples, instance.warmup);
   const ControlCounters& counters = instance.counters;
   AddCounter(samples, "reports_total", "Reports of backend servers.",
              counters.reports);
