Admission: Decide by classes of priority and repeatability

Two counters, one for orders and one for look-ups, can't tell which of several priorities a service's capacity belongs to. Each service now has up to 16 classes, and a class gets what the more urgent ones leave. UpdateCapacity lowers the admitted rate as soon as slots are lost. A class that was refused for 5 s gets one flow. fair_callers applies max-min fairness among the callers of a class.

--- a/Source/Admission/Admission.cc
+++ b/Source/Admission/Admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "Base/Hash.h"
 
@@ -19,8 +20,14 @@
 /// slowness below and above the target.
 constexpr double kIncreaseBelowTarget = 7;
 constexpr double kDecreaseAboveTarget = 0.5;
-/// Up to this slowness no flow is refused whose request must not be retried.
+/// Up to this slowness no flow is refused whose request must not be retried,
+/// if no class is more urgent.
 constexpr double kNoNonRetryableRefusalSlowness = 0.65;
+/// The limits that correspond to `kNoNonRetryableRefusalSlowness` and
+/// `kLateSlowness` when more urgent classes ask for the whole capacity: nothing
+/// is left before the most urgent class has flows refused.
+constexpr double kNoLessUrgentRefusalSlowness = 0.5;
+constexpr double kLessUrgentLateSlowness = 0.65;
 /// Time constant of the exponential decay of the recent requests.
 constexpr Milliseconds kRequestsDecayTime{200};
 
@@ -98,17 +105,71 @@
          std::exp(-excess_ms / ToDouble(kSlownessDecayTime));
 }
 
-void RecordRequest(ServiceMeasurements& measurements, bool retryable,
-                   TimePoint now) {
+/// Returns the measurements of a class; adds the class when it is new.
+ClassMeasurements& ClassOf(ServiceMeasurements& measurements,
+                           const FlowClass& flow_class) {
+  std::vector<ClassMeasurements>& classes = measurements.classes;
+  const auto position = [&] {
+    return std::lower_bound(
+        classes.begin(), classes.end(), flow_class,
+        [](const ClassMeasurements& item, const FlowClass& value) {
+          return item.flow_class < value;
+        });
+  };
+  const auto known = position();
+  if (known != classes.end() && known->flow_class == flow_class) {
+    return *known;
+  }
+  if (classes.size() >= kMaxClasses) {
+    classes.erase(std::min_element(
+        classes.begin(), classes.end(),
+        [](const ClassMeasurements& left, const ClassMeasurements& right) {
+          return left.recent_requests < right.recent_requests;
+        }));
+  }
+  return *classes.insert(position(),
+                         ClassMeasurements{.flow_class = flow_class});
+}
+
+/// Returns the weight of requests recorded at `last_request_at`, at `now`.
+double RequestsDecay(const ServiceMeasurements& measurements, TimePoint now) {
   const double elapsed_ms = std::chrono::duration<double, std::milli>(
                                 now - measurements.last_request_at)
                                 .count();
-  const double decay = std::exp(-elapsed_ms / ToDouble(kRequestsDecayTime));
-  measurements.recent_retryable_requests *= decay;
-  measurements.recent_non_retryable_requests *= decay;
+  return std::exp(-elapsed_ms / ToDouble(kRequestsDecayTime));
+}
+
+ClassMeasurements& RecordRequest(ServiceMeasurements& measurements,
+                                 const FlowClass& flow_class, TimePoint now) {
+  const double decay = RequestsDecay(measurements, now);
+  for (ClassMeasurements& item : measurements.classes) {
+    item.recent_requests *= decay;
+  }
   measurements.last_request_at = now;
-  (retryable ? measurements.recent_retryable_requests
-             : measurements.recent_non_retryable_requests) += 1;
+  ClassMeasurements& own = ClassOf(measurements, flow_class);
+  own.recent_requests += 1;
+  return own;
+}
+
+/// Requests that compete for the capacity of a service.
+struct CompetingRequests {
+  double more_urgent = 0;  ///< Requests of more urgent classes.
+  double own = 0;          ///< Requests of the class.
+};
+
+CompetingRequests RequestsBefore(const ServiceMeasurements& measurements,
+                                 const FlowClass& flow_class, TimePoint now) {
+  const double decay = RequestsDecay(measurements, now);
+  CompetingRequests requests;
+  for (const ClassMeasurements& item : measurements.classes) {
+    const double recent = item.recent_requests * decay;
+    requests.more_urgent += item.flow_class < flow_class ? recent : 0;
+    requests.own += item.flow_class == flow_class ? recent : 0;
+  }
+  // A class without requests gets a share as well.
+  constexpr double kMinRequests = 1e-9;
+  requests.own = std::max(requests.own, kMinRequests);
+  return requests;
 }
 
 /// Returns the rate of flows to admit, divided by the rate at which flows end.
@@ -122,35 +183,130 @@
          excess * (excess < 0 ? kIncreaseBelowTarget : kDecreaseAboveTarget);
 }
 
-/// Returns the share of retryable flows to admit: the admitted rate less the
-/// flows whose requests must not be retried. Precondition: `RecordRequest` was
-/// called for a retryable flow.
-double AdmittedShareOfRetryable(const ServiceMeasurements& measurements,
-                                double slowness, TimePoint now) {
+/// Returns the flows to admit in `kRequestsDecayTime`; infinity when nothing is
+/// refused.
+double AdmittedRequests(const ServiceMeasurements& measurements,
+                        double slowness, TimePoint now) {
+  const double limit = LimitPerMillisecond(measurements.capacity, now) *
+                       ToDouble(kRequestsDecayTime);
   if (slowness <= kNoRefusalSlowness) {
-    return 1;
+    return limit;
   }
   const double ends_per_ms =
       RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
-  const double admitted =
-      ends_per_ms * AdmittedPerEnd(slowness) * ToDouble(kRequestsDecayTime);
-  return std::clamp((admitted - measurements.recent_non_retryable_requests) /
-                        measurements.recent_retryable_requests,
-                    0.0, 1.0);
+  return std::min(limit, ends_per_ms * AdmittedPerEnd(slowness) *
+                             ToDouble(kRequestsDecayTime));
+}
+
+/// Returns the share of the capacity left by more urgent classes.
+double ShareOfRest(const CompetingRequests& requests, double admitted) {
+  if (std::isinf(admitted)) {
+    return 1;
+  }
+  return std::clamp((admitted - requests.more_urgent) / requests.own, 0.0, 1.0);
 }
 
 /// Returns the share of non-retryable flows to admit: all that the service can
-/// process, and all while the queues are short. Precondition: `RecordRequest`
-/// was called for a non-retryable flow.
-double AdmittedShareOfNonRetryable(const ServiceMeasurements& measurements,
-                                   double slowness, TimePoint now) {
+/// process beside more urgent classes, and all while the queues are short.
+double ShareOfNonRetryable(const ServiceMeasurements& measurements,
+                           const CompetingRequests& requests, double slowness,
+                           TimePoint now) {
   const double ends_per_ms =
       RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
-  const double processed = ends_per_ms * ToDouble(kRequestsDecayTime) /
-                           measurements.recent_non_retryable_requests;
-  const double by_slowness = (kLateSlowness - slowness) /
-                             (kLateSlowness - kNoNonRetryableRefusalSlowness);
-  return std::clamp(std::max(processed, by_slowness), 0.0, 1.0);
+  const double processed = ends_per_ms * ToDouble(kRequestsDecayTime);
+  if (requests.more_urgent <= 0) {
+    const double by_slowness = (kLateSlowness - slowness) /
+                               (kLateSlowness - kNoNonRetryableRefusalSlowness);
+    return std::clamp(std::max(processed / requests.own, by_slowness), 0.0,
+                      1.0);
+  }
+  const double admitted = AdmittedRequests(measurements, slowness, now);
+  if (admitted <= requests.more_urgent) {
+    return 0;
+  }
+  const double urgent_load =
+      processed > 0 ? std::min(1.0, requests.more_urgent / processed) : 1;
+  const double first = std::lerp(kNoNonRetryableRefusalSlowness,
+                                 kNoLessUrgentRefusalSlowness, urgent_load);
+  const double last =
+      std::lerp(kLateSlowness, kLessUrgentLateSlowness, urgent_load);
+  const double by_slowness =
+      std::clamp((last - slowness) / (last - first), 0.0, 1.0);
+  return std::max(ShareOfRest(requests, admitted), by_slowness);
+}
+
+double ShareOf(const ServiceMeasurements& measurements,
+               const FlowClass& flow_class, double slowness, TimePoint now) {
+  const CompetingRequests requests =
+      RequestsBefore(measurements, flow_class, now);
+  return flow_class.retryable
+             ? ShareOfRest(requests,
+                           AdmittedRequests(measurements, slowness, now))
+             : ShareOfNonRetryable(measurements, requests, slowness, now);
+}
+
+/// A draw from 0 to 1 that is the same for all requests with the same key in
+/// an interval.
+double Draw(const Admission& admission, std::uint64_t key) {
+  return static_cast<double>(MixHash(key, admission.refusal_interval) %
+                             kDrawRange) /
+         kDrawRange;
+}
+
+/// Why a flow is admitted or refused.
+enum class AdmissionReason {
+  kWithinShare,
+  kNoneInFlight,
+  kStarved,  ///< Nothing of the class was admitted for `kMaxStarvation`.
+  kRefused,
+  kUnfair,  ///< Refused: the caller asks for more than its fair level.
+};
+
+AdmissionReason Decide(const Admission& admission,
+                       const ServiceMeasurements& measurements,
+                       const ClassMeasurements& own,
+                       const AdmissionRequest& request, double share,
+                       TimePoint now) {
+  const CallerShare by_caller =
+      admission.fair_callers ? ShareOfCaller(own.callers, request.caller, share)
+                             : CallerShare{.share = share};
+  const std::uint64_t key = by_caller.heavy ? request.flow : request.caller;
+  if (Draw(admission, key) < by_caller.share) {
+    return AdmissionReason::kWithinShare;
+  }
+  // An instance without flows in flight does not contribute to the overload,
+  // and if it refused every flow, it could not detect the end of the overload.
+  if (measurements.in_flight == 0) {
+    return AdmissionReason::kNoneInFlight;
+  }
+  if (own.refused_since != TimePoint() &&
+      now - own.refused_since >= kMaxStarvation) {
+    return AdmissionReason::kStarved;
+  }
+  return by_caller.share < share ? AdmissionReason::kUnfair
+                                 : AdmissionReason::kRefused;
+}
+
+/// Counts a decision. Returns whether the flow is admitted.
+bool CountDecision(Admission& admission, ClassMeasurements& own,
+                   AdmissionReason reason, TimePoint now) {
+  const bool admitted =
+      reason != AdmissionReason::kRefused && reason != AdmissionReason::kUnfair;
+  const bool non_retryable = !own.flow_class.retryable;
+  AdmissionCounters& counters = admission.counters;
+  counters.admitted += admitted ? 1 : 0;
+  counters.refused += admitted ? 0 : 1;
+  counters.refused_non_retryable += !admitted && non_retryable ? 1 : 0;
+  own.counters.admitted += admitted ? 1 : 0;
+  own.counters.refused += admitted ? 0 : 1;
+  own.counters.starved += reason == AdmissionReason::kStarved ? 1 : 0;
+  own.counters.unfair += reason == AdmissionReason::kUnfair ? 1 : 0;
+  if (admitted) {
+    own.refused_since = TimePoint();
+  } else if (own.refused_since == TimePoint()) {
+    own.refused_since = now;
+  }
+  return admitted;
 }
 
 double Average(double average, double measured) {
@@ -182,27 +338,30 @@
          (1 - in_flight_weight) * from_durations;
 }
 
+double AdmittedShare(const Admission& admission, std::uint32_t service,
+                     const FlowClass& flow_class, TimePoint now) {
+  if (service >= admission.services.size()) {
+    return 1;
+  }
+  return ShareOf(admission.services[service], flow_class,
+                 ExpectedSlowness(admission, service, now), now);
+}
+
 bool Admit(Admission& admission, const AdmissionRequest& request,
            TimePoint now) {
   const double slowness = ExpectedSlowness(admission, request.service, now);
   ServiceMeasurements& measurements =
       MeasurementsOf(admission, request.service);
-  RecordRequest(measurements, request.retryable, now);
-  const double share =
-      request.retryable
-          ? AdmittedShareOfRetryable(measurements, slowness, now)
-          : AdmittedShareOfNonRetryable(measurements, slowness, now);
-  const std::uint64_t draw =
-      MixHash(request.caller, admission.refusal_interval) % kDrawRange;
-  // An instance without flows in flight does not contribute to the overload,
-  // and if it refused every flow, it could not detect the end of the overload.
-  const bool admitted = measurements.in_flight == 0 ||
-                        static_cast<double>(draw) < share * kDrawRange;
-  AdmissionCounters& counters = admission.counters;
-  counters.admitted += admitted ? 1 : 0;
-  counters.refused += admitted ? 0 : 1;
-  counters.refused_non_retryable += !admitted && !request.retryable ? 1 : 0;
-  return admitted;
+  const FlowClass flow_class{.priority = request.priority,
+                             .retryable = request.retryable};
+  ClassMeasurements& own = RecordRequest(measurements, flow_class, now);
+  if (admission.fair_callers) {
+    RecordCaller(own.callers, request.caller, now);
+  }
+  const double share = ShareOf(measurements, flow_class, slowness, now);
+  const AdmissionReason reason =
+      Decide(admission, measurements, own, request, share, now);
+  return CountDecision(admission, own, reason, now);
 }
 
 void AddFlowInFlight(Admission& admission, std::uint32_t service) {
@@ -230,11 +389,21 @@
     measurements.objective_ms = ToDouble(objective);
   }
   measurements.last_end_at = now;
+  RecordEnd(measurements.capacity, slowness, now);
+}
+
+void UpdateCapacity(Admission& admission, std::uint32_t service,
+                    double effective_slots, TimePoint now) {
+  ServiceMeasurements& measurements = MeasurementsOf(admission, service);
+  measurements.recent_ends *=
+      SetEffectiveSlots(measurements.capacity, effective_slots, now);
 }
 
 void ResetMeasurements(Admission& admission) {
   for (ServiceMeasurements& measurements : admission.services) {
     measurements.objective_ms = 0;
+    measurements.capacity = {.effective_slots =
+                                 measurements.capacity.effective_slots};
   }
 }
 
--- a/Source/Admission/Admission.h
+++ b/Source/Admission/Admission.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
+#include "Admission/CallerDemand.h"
+#include "Admission/ServiceCapacity.h"
 #include "Base/Time.h"
 
 /// Admission control: refuses new flows of services that are overloaded.
@@ -20,10 +24,51 @@
 /// know all servers.
 ///
 /// How many flows an overloaded service admits follows from rates: as many as
-/// end, more while the queues are short, and fewer while they are long. Plain
-/// state and pure functions; not thread safe.
+/// end, more while the queues are short, and fewer while they are long.
+///
+/// Who is admitted follows from classes: flows of a route with a more urgent
+/// priority come first, and among flows of the same priority those whose
+/// requests must not be retried. A class shares the capacity that the more
+/// urgent classes leave. Plain state and pure functions; not thread safe.
 namespace filbertwall {
 
+/// Flows that are treated alike. The lowest class is the most urgent.
+struct FlowClass {
+  std::uint32_t priority = 0;  ///< Of the route; 0 is the most urgent.
+  bool retryable = false;      ///< The caller may retry the request.
+  auto operator<=>(const FlowClass&) const = default;
+};
+
+/// Limit on the classes of a service. Beyond it, a new class replaces the one
+/// with the fewest recent requests.
+inline constexpr std::size_t kMaxClasses = 16;
+
+/// When all flows of a class were refused for this long, the next is admitted.
+inline constexpr Milliseconds kMaxStarvation{5000};
+
+/// Numbers of flows of a class.
+struct ClassCounters {
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+  /// Admitted because of `kMaxStarvation`; included in `admitted`.
+  std::uint64_t starved = 0;
+  /// Refused because their caller asks for more than its fair level; included
+  /// in `refused`.
+  std::uint64_t unfair = 0;
+};
+
+/// What one entry instance has measured of the flows of a class.
+struct ClassMeasurements {
+  FlowClass flow_class;
+  /// Flows that were to be opened, admitted or not, with exponentially decaying
+  /// weight.
+  double recent_requests = 0;
+  /// First refusal since the last admission; `TimePoint()` when there is none.
+  TimePoint refused_since;
+  CallerDemand callers;  ///< Only used with `Admission::fair_callers`.
+  ClassCounters counters;
+};
+
 /// What one entry instance has measured of the flows of a service.
 struct ServiceMeasurements {
   /// Flows that a server has accepted and that have neither ended nor become
@@ -36,13 +81,13 @@
   /// Moving average of the objective; 0 when nothing is measured.
   double objective_ms = 0;
   TimePoint last_end_at;
-  /// Flows that were to be opened, admitted or not, with exponentially decaying
-  /// weight.
-  double recent_retryable_requests = 0;
-  double recent_non_retryable_requests = 0;
+  std::vector<ClassMeasurements> classes;  ///< Most urgent first.
+  /// Time to which `ClassMeasurements::recent_requests` are decayed.
   TimePoint last_request_at;
+  ServiceCapacity capacity;
 };
 
+/// Numbers of flows of all classes.
 struct AdmissionCounters {
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
@@ -56,14 +101,18 @@
   /// address which callers are refused first. Must be the same at all
   /// instances.
   std::uint64_t refusal_interval = 0;
+  /// Whether max-min fairness applies among the callers of a class.
+  bool fair_callers = false;
   AdmissionCounters counters;
 };
 
 /// A flow that is about to be opened.
 struct AdmissionRequest {
   std::uint32_t service = 0;
-  std::uint32_t caller = 0;  ///< IPv4 address of the caller.
-  bool retryable = false;    ///< The caller may retry the request.
+  std::uint32_t caller = 0;    ///< IPv4 address of the caller.
+  std::uint32_t priority = 0;  ///< Of the route; 0 is the most urgent.
+  bool retryable = false;      ///< The caller may retry the request.
+  std::uint64_t flow = 0;      ///< Hash of the flow's key.
 };
 
 /// Returns the expected duration of a flow that is opened now, divided by its
@@ -71,12 +120,20 @@
 double ExpectedSlowness(const Admission& admission, std::uint32_t service,
                         TimePoint now);
 
-/// Returns whether the flow is admitted. Flows whose requests may be retried
-/// share the capacity that the others leave. The others are refused only at a
-/// high slowness. Within an interval, instances with the same measurements
-/// refuse the same callers. The retry of a refused request is thus refused as
-/// well; otherwise it would take the place of a request that can be answered in
-/// time.
+/// Returns the share of the flows of a class that are admitted now, before
+/// fairness among callers. It is above 0 only if it is 1 for all more urgent
+/// classes.
+double AdmittedShare(const Admission& admission, std::uint32_t service,
+                     const FlowClass& flow_class, TimePoint now);
+
+/// Returns whether the flow is admitted. A class gets the capacity that the
+/// more urgent classes leave. Flows whose requests must not be retried are
+/// refused only at a high slowness if no class is more urgent. Within an
+/// interval, instances with the same measurements refuse the same callers. The
+/// retry of a refused request is thus refused as well; otherwise it would take
+/// the place of a request that can be answered in time. With `fair_callers`,
+/// callers that ask for little are refused last, and flows of a caller that
+/// asks for much are refused one by one.
 bool Admit(Admission& admission, const AdmissionRequest& request,
            TimePoint now);
 
@@ -93,6 +150,14 @@
                         Milliseconds duration, Milliseconds objective,
                         TimePoint now);
 
+/// Sets the number of requests that the servers of a service can process at a
+/// time: their slots, by speed; 0 for servers that get no flows. When it falls
+/// by a factor, the rate of admitted flows falls by it at once. Nothing is
+/// refused if the remaining slots can process all flows. Precondition:
+/// `effective_slots` is not negative.
+void UpdateCapacity(Admission& admission, std::uint32_t service,
+                    double effective_slots, TimePoint now);
+
 /// Discards all measurements. Called after the process was stalled, since the
 /// durations measured during a stall do not show the speed of the servers.
 void ResetMeasurements(Admission& admission);
--- /dev/null
+++ b/Source/Admission/ServiceCapacity.cc
@@ -0,0 +1,110 @@
+#include "Admission/ServiceCapacity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace filbertwall {
+namespace {
+
+/// Time constant of the exponential decay of `ends`.
+constexpr Milliseconds kEndsDecayTime{2000};
+/// Weight of a new duration in `mean_slowness`.
+constexpr double kDurationWeight = 0.05;
+/// Weight with which `usual_slowness` follows a higher mean.
+constexpr double kUsualWeight = 0.001;
+/// Durations that vary without queueing reach this multiple of the usual one.
+constexpr double kUsualVariation = 1.3;
+/// Highest utilization at which the answers are in time.
+constexpr double kTargetUtilization = 0.9;
+/// Fewer ends than this give no estimate.
+constexpr double kMinEnds = 10;
+/// Lower factors count as this one, so that a service that has lost all
+/// capacity still admits flows once capacity returns.
+constexpr double kMinFactor = 0.05;
+/// After this time durations show the new state.
+constexpr Milliseconds kLimitDuration{1000};
+
+double ToDouble(Milliseconds time) { return static_cast<double>(time.count()); }
+
+double DecayedEnds(const ServiceCapacity& capacity, TimePoint now) {
+  const double elapsed_ms =
+      std::chrono::duration<double, std::milli>(now - capacity.last_end_at)
+          .count();
+  return capacity.ends * std::exp(-elapsed_ms / ToDouble(kEndsDecayTime));
+}
+
+bool IsLimited(const ServiceCapacity& capacity, TimePoint now) {
+  return capacity.limit_per_ms > 0 &&
+         now - capacity.limited_at < kLimitDuration;
+}
+
+/// Returns the rate of ends at which the servers would be used up to the
+/// target.
+double SustainablePerMillisecond(const ServiceCapacity& capacity,
+                                 TimePoint now) {
+  const double ends = DecayedEnds(capacity, now);
+  const double utilization = EstimatedUtilization(capacity);
+  if (ends < kMinEnds || utilization <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return ends / ToDouble(kEndsDecayTime) * kTargetUtilization / utilization;
+}
+
+}  // namespace
+
+void RecordEnd(ServiceCapacity& capacity, double slowness, TimePoint now) {
+  capacity.ends = DecayedEnds(capacity, now) + 1;
+  capacity.last_end_at = now;
+  const bool first = capacity.usual_slowness <= 0;
+  capacity.mean_slowness +=
+      (first ? 1 : kDurationWeight) * (slowness - capacity.mean_slowness);
+  const double excess = capacity.mean_slowness - capacity.usual_slowness;
+  capacity.usual_slowness += (first || excess < 0 ? 1 : kUsualWeight) * excess;
+}
+
+double EstimatedUtilization(const ServiceCapacity& capacity) {
+  // With flows spread at random over servers of two slots, the mean duration is
+  // the usual one divided by 1 - u^2 at a utilization of u.
+  const double free_duration = kUsualVariation * capacity.usual_slowness;
+  if (capacity.mean_slowness <= free_duration) {
+    return 0;
+  }
+  return std::sqrt(1 - free_duration / capacity.mean_slowness);
+}
+
+double SetEffectiveSlots(ServiceCapacity& capacity, double effective_slots,
+                         TimePoint now) {
+  const double before = capacity.effective_slots;
+  capacity.effective_slots = effective_slots;
+  if (before <= 0) {
+    capacity.limit_per_ms = 0;
+  }
+  if (before <= 0 || effective_slots == before) {
+    return 1;
+  }
+  const double factor = std::max(kMinFactor, effective_slots / before);
+  if (factor >= 1) {
+    capacity.limit_per_ms *= factor;
+    return 1;
+  }
+  const double possible = std::min(LimitPerMillisecond(capacity, now),
+                                   SustainablePerMillisecond(capacity, now));
+  capacity.limit_per_ms = std::isfinite(possible) ? possible * factor : 0;
+  capacity.limited_at = now;
+  return factor;
+}
+
+double LimitPerMillisecond(const ServiceCapacity& capacity, TimePoint now) {
+  if (!IsLimited(capacity, now)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  // The bound rises gradually to none, so that its end causes no burst.
+  const double elapsed =
+      std::chrono::duration<double, std::milli>(now - capacity.limited_at)
+          .count() /
+      ToDouble(kLimitDuration);
+  return capacity.limit_per_ms / (1 - elapsed);
+}
+
+}  // namespace filbertwall
