Forwarding: Pass priorities to admission control and late openings

Admission control needs the route's priority and a key of the flow, and late openings leave by priority first.

--- a/Source/Admission/Admission.cc
+++ b/Source/Admission/Admission.cc
@@ -297,6 +297,11 @@
   counters.admitted += admitted ? 1 : 0;
   counters.refused += admitted ? 0 : 1;
   counters.refused_non_retryable += !admitted && non_retryable ? 1 : 0;
+  counters.starved += reason == AdmissionReason::kStarved ? 1 : 0;
+  counters.unfair += reason == AdmissionReason::kUnfair ? 1 : 0;
+  const std::size_t priority = std::min<std::size_t>(
+      own.flow_class.priority, counters.refused_by_priority.size() - 1);
+  counters.refused_by_priority.at(priority) += admitted ? 0 : 1;
   own.counters.admitted += admitted ? 1 : 0;
   own.counters.refused += admitted ? 0 : 1;
   own.counters.starved += reason == AdmissionReason::kStarved ? 1 : 0;
--- a/Source/Admission/Admission.h
+++ b/Source/Admission/Admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -93,6 +94,10 @@
   std::uint64_t refused = 0;
   /// Refused flows whose requests must not be retried.
   std::uint64_t refused_non_retryable = 0;
+  std::uint64_t starved = 0;  ///< See `ClassCounters`.
+  std::uint64_t unfair = 0;   ///< See `ClassCounters`.
+  /// Refused flows by priority; the last entry includes all higher numbers.
+  std::array<std::uint64_t, 5> refused_by_priority{};
 };
 
 struct Admission {
--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -51,6 +51,9 @@
   kFlowPlaced = 6001,
   kFlowRefused = 6002,
   kPacketDropped = 6003,
+  kClassRefused = 6010,
+  kCapacityChanged = 6011,
+  kCallersLimited = 6012,
   kUnknownRegion = 6016,
 };
 
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Distribution/PackedContents.h"
+#include "Fleet/EntryHousekeeping.h"
 
 namespace filbertwall {
 namespace {
@@ -40,9 +41,6 @@
 /// After a stall, opening packets are discarded for this long: time enough to
 /// read the packets that have queued up meanwhile.
 constexpr Milliseconds kStallDiscardTime{100};
-/// How long the record of a gone server is kept. This is longer than any flow
-/// lasts, so that the token of each flow can still be resolved to its server.
-constexpr Milliseconds kGoneRetention{90000};
 /// Time between the stop request and the end of the process. The routers send
 /// packets elsewhere only after two failed health checks.
 constexpr Milliseconds kStopDelay{1800};
@@ -446,8 +444,7 @@
     RequestWarmup(this->context);
     if (this->context.now >= instance.next_housekeeping_at) {
       instance.next_housekeeping_at = this->context.now + kHousekeepingInterval;
-      RemoveExpiredServers(instance.registry, kGoneRetention,
-                           this->context.now);
+      RunHousekeeping(instance, this->context.effects, this->context.now);
     }
     if (instance.stopping && !instance.stopped &&
         this->context.now >= instance.stop_at) {
@@ -506,7 +503,7 @@
   instance.forwarder.placement.config = {.data_centre = config.data_centre,
                                          .seed = config.incarnation,
                                          .regions = config.regions};
-  instance.forwarder.refuses_overload = config.refuse_overload;
+  ConfigureAdmission(instance.forwarder, config);
   return instance;
 }
 
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Base/InputError.h"
+#include "Fleet/AdmissionReport.h"
 #include "Fleet/EntryEvacuations.h"
 #include "Fleet/Fleet.h"
 #include "Fleet/WarmupRequests.h"
@@ -65,6 +66,7 @@
   WarmupRequester warmup;
   TimePoint stop_at;
   InputErrorCounts set_aside;  ///< Records that could not be used.
+  AdmissionReport admission_report;
 };
 
 struct EntryStarted {};
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -34,7 +34,9 @@
   /// Whether new flows are refused when their answer would come too late.
   bool refuse_overload = true;
   std::map<std::string, std::string> regions;  ///< By data centre.
-  std::uint64_t incarnation = 0;               ///< Differs at each start.
+  /// Whether callers that ask for the most are refused first.
+  bool fair_callers = false;
+  std::uint64_t incarnation = 0;  ///< Differs at each start.
 };
 
 /// A message received from another instance.
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -111,6 +111,28 @@
            static_cast<double>(totals.cold_servers));
 }
 
+/// Adds who was refused by admission control, and why.
+void AddAdmissionMetrics(Samples& samples, const Admission& admission) {
+  const AdmissionCounters& counters = admission.counters;
+  const std::string flows_help =
+      "New flows that admission control decided on, by decision.";
+  AddCounter(samples, "admission_flows_total", flows_help, counters.admitted,
+             "admitted");
+  AddCounter(samples, "admission_flows_total", flows_help, counters.refused,
+             "refused");
+  AddCounter(samples, "admission_flows_total", flows_help, counters.starved,
+             "starved");
+  AddCounter(samples, "admission_flows_total", flows_help, counters.unfair,
+             "unfair");
+  const std::size_t last = counters.refused_by_priority.size() - 1;
+  for (std::size_t i = 0; i <= last; ++i) {
+    AddCounter(samples, "refused_by_priority_total",
+               "New flows refused for load, by the priority of their route.",
+               counters.refused_by_priority.at(i),
+               std::to_string(i) + (i == last ? "+" : ""));
+  }
+}
+
 }  // namespace
 
 std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
@@ -160,6 +182,7 @@
   AddCounter(samples, "orders_refused_total",
              "New flows refused for load whose requests may not be repeated.",
              instance.forwarder.admission.counters.refused_non_retryable);
+  AddAdmissionMetrics(samples, instance.forwarder.admission);
   double max_slowness = 0;
   for (std::uint32_t i = 0; i < instance.forwarder.admission.services.size();
        ++i) {
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Base/Hash.h"
+#include "Forwarding/FlowClassOf.h"
 
 namespace filbertwall {
 namespace {
@@ -73,14 +74,12 @@
 Decision HoldLate(const Forwarder& forwarder, const FlowPacket& packet,
                   const RouteEntry& route, ServiceIndex service,
                   TimePoint now) {
-  const TimePoint gives_up_at = now - packet.since_first_copy + route.timeout;
   return Decision{
       .verdict = Verdict::kHold,
       .reason = ForwardReason::kLate,
       .service = service,
-      .late_order = {.retryable = route.kind != wire::REQUEST_UNSAFE,
-                     .latest_start = gives_up_at -
-                                     UsualDuration(forwarder, route, service)}};
+      .late_order = MakeLateOrder(
+          packet, route, UsualDuration(forwarder, route, service), now)};
 }
 
 using FlowPosition = decltype(Forwarder::flows)::iterator;
@@ -126,12 +125,8 @@
                                     packet.copies == 0 &&
                                     route.objective.count() > 0;
   return subject_to_admission &&
-         !Admit(
-             forwarder.admission,
-             AdmissionRequest{.service = service,
-                              .caller = packet.key.caller.ip,
-                              .retryable = route.kind != wire::REQUEST_UNSAFE},
-             now);
+         !Admit(forwarder.admission,
+                MakeAdmissionRequest(packet, route, service), now);
 }
 
 /// Removes a flow from the in-flight count if it is still included.
--- a/Source/Forwarding/LateOpenings.h
+++ b/Source/Forwarding/LateOpenings.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "Admission/Admission.h"
 #include "Admission/ReleaseWindow.h"
 #include "Base/Time.h"
 #include "Forwarding/HeldOpenings.h"
@@ -17,15 +18,15 @@
 /// Opening packets whose answers will miss their latency objective, until the
 /// service has capacity for them.
 ///
-/// Each service has a `ReleaseWindow` and a queue. Packets whose requests must
-/// not be retried leave the queue first, and otherwise those whose callers give
-/// up first. A packet stays at most until its caller's next retransmission.
-/// Plain state; not thread safe.
+/// Each service has a `ReleaseWindow` and a queue. Packets of the most urgent
+/// class leave the queue first, and among those of a class the ones whose
+/// callers give up first. A packet stays at most until its caller's next
+/// retransmission. Plain state; not thread safe.
 namespace filbertwall {
 
 /// Order of the packets of a service; the lowest leaves the queue first.
 struct LateOrder {
-  bool retryable = false;  ///< The caller may retry the request.
+  FlowClass flow_class;
   TimePoint latest_start;  ///< A flow that opens later ends after its caller.
   auto operator<=>(const LateOrder&) const = default;
 };
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -43,6 +43,8 @@
   Milliseconds announce_interval{1000};  ///< Between reports of a server.
   std::uint16_t metrics_port = 0;        ///< 0: no metrics are served.
   bool refuse_overload = true;  ///< Refuse new flows that would be served late.
+  /// Among the callers of a class, refuse those that ask for the most.
+  bool fair_callers = false;
   /// Port at which the other instances receive messages; 0: the port of
   /// control_address.
   std::uint16_t peer_port = 0;
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -393,6 +393,7 @@
                      .announce_interval = settings.fleet.announce_interval,
                      .refuse_overload = settings.fleet.refuse_overload,
                      .regions = settings.fleet.regions,
+                     .fair_callers = settings.fleet.fair_callers,
                      .incarnation = incarnation};
   for (const Endpoint& seed : settings.fleet.seeds) {
     config.seeds.insert(seed.ip);
--- a/Tests/Forwarding/LateOpeningsTest.cc
+++ b/Tests/Forwarding/LateOpeningsTest.cc
@@ -17,10 +17,12 @@
   /// Stores the packet of a caller that gives up after `patience` and sends its
   /// next copy after `retransmit_after`.
   void Hold(std::uint16_t port, bool retryable, Milliseconds patience,
-            Milliseconds retransmit_after = Milliseconds(400)) {
+            Milliseconds retransmit_after = Milliseconds(400),
+            std::uint32_t priority = 0) {
     HoldLateOpening(
         this->late, kService,
-        LateOrder{.retryable = retryable, .latest_start = kStart + patience},
+        LateOrder{.flow_class = {.priority = priority, .retryable = retryable},
+                  .latest_start = kStart + patience},
         HeldOpening{.key = {.caller = {.ip = 7, .port = port}},
                     .first_sent_at = kStart,
                     .expires_at = kStart + retransmit_after},
@@ -52,6 +54,18 @@
   CHECK_EQUAL(3, this->late.released);
 }
 
+/// Guards against a less urgent order that takes the capacity of a more urgent
+/// look-up.
+TEST(LateOpenings, PriorityPrecedesOrdersAndCallersThatGiveUpFirst) {
+  this->LimitInFlight(10);
+  this->Hold(1, false, Milliseconds(100), Milliseconds(400), 2);
+  this->Hold(2, true, Milliseconds(300), Milliseconds(400), 1);
+  this->Hold(3, true, Milliseconds(900), Milliseconds(400), 0);
+  this->Hold(4, false, Milliseconds(900), Milliseconds(400), 1);
+  const std::vector<std::uint16_t> expected = {3, 4, 2, 1};
+  CHECK(this->Release() == expected);
+}
+
 TEST(LateOpenings, NothingLeavesWhileTheWindowIsFull) {
   this->LimitInFlight(1);
   this->Hold(1, true, Milliseconds(300));
