Admission: Recognize full queues once the capacity is known

Once UpdateCapacity has told the slots, slowness is measured by the duration of a flow in an almost full queue, instances with few flows go by longer averages, and a class yields while a more urgent one is refused.

--- a/Source/Admission/Admission.cc
+++ b/Source/Admission/Admission.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "Base/Hash.h"
 
@@ -51,6 +50,17 @@
 constexpr double kNormalIntervals = 3;
 /// Time constant of the exponential decay of `slowness` after that time.
 constexpr Milliseconds kSlownessDecayTime{150};
+/// Time without an end of a flow after which an instance without flows in
+/// flight admits one.
+constexpr Milliseconds kProbeInterval{200};
+/// With this many recent ends, the rates over a short time are used alone.
+constexpr double kManyRecentEnds = 20;
+/// A less urgent class gets nothing while a larger share of the recent requests
+/// is refused.
+constexpr double kMaxRefusedShare = 0.1;
+/// Added to the recent requests, so that one refusal of few requests is no
+/// large share.
+constexpr double kFewRequests = 5;
 /// Measurements are ignored when no flow has ended for longer than this.
 constexpr Milliseconds kMaxMeasurementAge{1500};
 constexpr std::uint64_t kDrawRange = 1U << 20U;
@@ -81,13 +91,14 @@
 }
 
 /// Returns the time until the flows in flight have ended at the current rate of
-/// ends, divided by the objective.
+/// ends, divided by the objective, times `objective_excess`.
 double SlownessFromInFlight(const ServiceMeasurements& measurements,
-                            TimePoint now) {
+                            double objective_excess, TimePoint now) {
   const double ends_per_ms =
       RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
   const double wait_ms = measurements.in_flight / ends_per_ms;
-  return std::min(kMaxSlowness, wait_ms / measurements.objective_ms);
+  return std::min(kMaxSlowness,
+                  wait_ms / measurements.objective_ms * objective_excess);
 }
 
 /// Returns the moving average of durations divided by the objective. It decays
@@ -132,44 +143,83 @@
 }
 
 /// Returns the weight of requests recorded at `last_request_at`, at `now`.
-double RequestsDecay(const ServiceMeasurements& measurements, TimePoint now) {
+double RequestsDecay(const ServiceMeasurements& measurements,
+                     Milliseconds decay_time, TimePoint now) {
   const double elapsed_ms = std::chrono::duration<double, std::milli>(
                                 now - measurements.last_request_at)
                                 .count();
-  return std::exp(-elapsed_ms / ToDouble(kRequestsDecayTime));
+  return std::exp(-elapsed_ms / ToDouble(decay_time));
 }
 
 ClassMeasurements& RecordRequest(ServiceMeasurements& measurements,
                                  const FlowClass& flow_class, TimePoint now) {
-  const double decay = RequestsDecay(measurements, now);
+  const double decay = RequestsDecay(measurements, kRequestsDecayTime, now);
+  const double longer_decay =
+      RequestsDecay(measurements, kCapacityDecayTime, now);
   for (ClassMeasurements& item : measurements.classes) {
     item.recent_requests *= decay;
+    item.longer_requests *= longer_decay;
+    item.longer_admitted *= longer_decay;
   }
   measurements.last_request_at = now;
   ClassMeasurements& own = ClassOf(measurements, flow_class);
   own.recent_requests += 1;
+  own.longer_requests += 1;
   return own;
 }
 
-/// Requests that compete for the capacity of a service.
-struct CompetingRequests {
+/// The load of a service as a class sees it, measured over some time. Requests
+/// and ends are numbers of flows in `kRequestsDecayTime` or
+/// `kCapacityDecayTime`.
+struct ClassLoad {
+  double slowness = 0;
+  double ends = 0;         ///< Flows that end.
   double more_urgent = 0;  ///< Requests of more urgent classes.
   double own = 0;          ///< Requests of the class.
+  double limit = 0;        ///< Bound on the flows to admit.
 };
 
-CompetingRequests RequestsBefore(const ServiceMeasurements& measurements,
-                                 const FlowClass& flow_class, TimePoint now) {
-  const double decay = RequestsDecay(measurements, now);
-  CompetingRequests requests;
+/// Sums up the requests, which are in `member`.
+void CountRequests(ClassLoad& load, const ServiceMeasurements& measurements,
+                   const FlowClass& flow_class, double decay,
+                   double ClassMeasurements::*member) {
   for (const ClassMeasurements& item : measurements.classes) {
-    const double recent = item.recent_requests * decay;
-    requests.more_urgent += item.flow_class < flow_class ? recent : 0;
-    requests.own += item.flow_class == flow_class ? recent : 0;
+    const double requests = item.*member * decay;
+    load.more_urgent += item.flow_class < flow_class ? requests : 0;
+    load.own += item.flow_class == flow_class ? requests : 0;
   }
   // A class without requests gets a share as well.
   constexpr double kMinRequests = 1e-9;
-  requests.own = std::max(requests.own, kMinRequests);
-  return requests;
+  load.own = std::max(load.own, kMinRequests);
+}
+
+ClassLoad RecentLoad(const ServiceMeasurements& measurements,
+                     const FlowClass& flow_class, double slowness,
+                     TimePoint now) {
+  const double ends_per_ms =
+      RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
+  ClassLoad load{.slowness = slowness,
+                 .ends = ends_per_ms * ToDouble(kRequestsDecayTime),
+                 .limit = LimitPerMillisecond(measurements.capacity, now) *
+                          ToDouble(kRequestsDecayTime)};
+  CountRequests(load, measurements, flow_class,
+                RequestsDecay(measurements, kRequestsDecayTime, now),
+                &ClassMeasurements::recent_requests);
+  return load;
+}
+
+ClassLoad LongerLoad(const ServiceMeasurements& measurements,
+                     const FlowClass& flow_class, TimePoint now) {
+  const ServiceCapacity& capacity = measurements.capacity;
+  ClassLoad load{
+      .slowness = capacity.mean_slowness * ObjectiveExcess(capacity),
+      .ends = EndsPerMillisecond(capacity, now) * ToDouble(kCapacityDecayTime),
+      .limit =
+          LimitPerMillisecond(capacity, now) * ToDouble(kCapacityDecayTime)};
+  CountRequests(load, measurements, flow_class,
+                RequestsDecay(measurements, kCapacityDecayTime, now),
+                &ClassMeasurements::longer_requests);
+  return load;
 }
 
 /// Returns the rate of flows to admit, divided by the rate at which flows end.
@@ -183,66 +233,93 @@
          excess * (excess < 0 ? kIncreaseBelowTarget : kDecreaseAboveTarget);
 }
 
-/// Returns the flows to admit in `kRequestsDecayTime`; infinity when nothing is
-/// refused.
-double AdmittedRequests(const ServiceMeasurements& measurements,
-                        double slowness, TimePoint now) {
-  const double limit = LimitPerMillisecond(measurements.capacity, now) *
-                       ToDouble(kRequestsDecayTime);
-  if (slowness <= kNoRefusalSlowness) {
-    return limit;
-  }
-  const double ends_per_ms =
-      RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
-  return std::min(limit, ends_per_ms * AdmittedPerEnd(slowness) *
-                             ToDouble(kRequestsDecayTime));
+/// Returns the flows to admit; infinity when nothing is refused.
+double AdmittedFlows(const ClassLoad& load) {
+  return load.slowness <= kNoRefusalSlowness
+             ? load.limit
+             : std::min(load.limit, load.ends * AdmittedPerEnd(load.slowness));
 }
 
 /// Returns the share of the capacity left by more urgent classes.
-double ShareOfRest(const CompetingRequests& requests, double admitted) {
+double ShareOfRest(const ClassLoad& load, double admitted) {
   if (std::isinf(admitted)) {
     return 1;
   }
-  return std::clamp((admitted - requests.more_urgent) / requests.own, 0.0, 1.0);
+  return std::clamp((admitted - load.more_urgent) / load.own, 0.0, 1.0);
 }
 
 /// Returns the share of non-retryable flows to admit: all that the service can
 /// process beside more urgent classes, and all while the queues are short.
-double ShareOfNonRetryable(const ServiceMeasurements& measurements,
-                           const CompetingRequests& requests, double slowness,
-                           TimePoint now) {
-  const double ends_per_ms =
-      RecentEnds(measurements, now) / ToDouble(kEndsDecayTime);
-  const double processed = ends_per_ms * ToDouble(kRequestsDecayTime);
-  if (requests.more_urgent <= 0) {
-    const double by_slowness = (kLateSlowness - slowness) /
+double ShareOfNonRetryable(const ClassLoad& load) {
+  if (load.more_urgent <= 0) {
+    const double by_slowness = (kLateSlowness - load.slowness) /
                                (kLateSlowness - kNoNonRetryableRefusalSlowness);
-    return std::clamp(std::max(processed / requests.own, by_slowness), 0.0,
-                      1.0);
+    return std::clamp(std::max(load.ends / load.own, by_slowness), 0.0, 1.0);
   }
-  const double admitted = AdmittedRequests(measurements, slowness, now);
-  if (admitted <= requests.more_urgent) {
+  const double admitted = AdmittedFlows(load);
+  if (admitted <= load.more_urgent) {
     return 0;
   }
   const double urgent_load =
-      processed > 0 ? std::min(1.0, requests.more_urgent / processed) : 1;
+      load.ends > 0 ? std::min(1.0, load.more_urgent / load.ends) : 1;
   const double first = std::lerp(kNoNonRetryableRefusalSlowness,
                                  kNoLessUrgentRefusalSlowness, urgent_load);
   const double last =
       std::lerp(kLateSlowness, kLessUrgentLateSlowness, urgent_load);
   const double by_slowness =
-      std::clamp((last - slowness) / (last - first), 0.0, 1.0);
-  return std::max(ShareOfRest(requests, admitted), by_slowness);
+      std::clamp((last - load.slowness) / (last - first), 0.0, 1.0);
+  return std::max(ShareOfRest(load, admitted), by_slowness);
+}
+
+double ShareOfLoad(const ClassLoad& load, bool retryable) {
+  return retryable ? ShareOfRest(load, AdmittedFlows(load))
+                   : ShareOfNonRetryable(load);
+}
+
+/// Whether flows of more urgent classes were refused recently. Without it, a
+/// class would get a part of the capacity whenever the slowness, which varies,
+/// is low for a moment. Orders count only when the capacity is known: otherwise
+/// the usual routes are decided as without classes.
+bool YieldsToMoreUrgent(const ServiceMeasurements& measurements,
+                        const FlowClass& flow_class, TimePoint now) {
+  if (!HasRecentMeasurements(measurements, now)) {
+    return false;
+  }
+  const double decay = RequestsDecay(measurements, kCapacityDecayTime, now);
+  return std::any_of(
+      measurements.classes.begin(), measurements.classes.end(),
+      [&](const ClassMeasurements& item) {
+        const bool counts = item.flow_class.retryable ||
+                            measurements.capacity.effective_slots > 0;
+        const double refused =
+            (item.longer_requests - item.longer_admitted) * decay;
+        return counts && item.flow_class < flow_class &&
+               refused > kMaxRefusedShare *
+                             (item.longer_requests * decay + kFewRequests);
+      });
 }
 
+/// Returns the share of a class. When the capacity is known, an instance with
+/// few flows goes by a longer time: the share that follows from a few flows
+/// varies, and while it is 1 an overload is admitted as a whole.
 double ShareOf(const ServiceMeasurements& measurements,
                const FlowClass& flow_class, double slowness, TimePoint now) {
-  const CompetingRequests requests =
-      RequestsBefore(measurements, flow_class, now);
-  return flow_class.retryable
-             ? ShareOfRest(requests,
-                           AdmittedRequests(measurements, slowness, now))
-             : ShareOfNonRetryable(measurements, requests, slowness, now);
+  const double recent =
+      ShareOfLoad(RecentLoad(measurements, flow_class, slowness, now),
+                  flow_class.retryable);
+  const bool capacity_known = measurements.capacity.effective_slots > 0;
+  const double weight =
+      std::min(1.0, RecentEnds(measurements, now) / kManyRecentEnds);
+  if (YieldsToMoreUrgent(measurements, flow_class, now)) {
+    return 0;
+  }
+  if (!capacity_known || weight >= 1 ||
+      !HasRecentMeasurements(measurements, now)) {
+    return recent;
+  }
+  const double longer = ShareOfLoad(LongerLoad(measurements, flow_class, now),
+                                    flow_class.retryable);
+  return std::lerp(longer, recent, weight);
 }
 
 /// A draw from 0 to 1 that is the same for all requests with the same key in
@@ -262,6 +339,17 @@
   kUnfair,  ///< Refused: the caller asks for more than its fair level.
 };
 
+/// Whether a flow is admitted whatever its share. An instance without flows in
+/// flight does not contribute to the overload, and if it refused every flow, it
+/// could not detect the end of the overload. When the capacity is known, one
+/// flow from time to time is enough: an instance of a large fleet often has no
+/// flow in flight, and would admit flows that others refuse.
+bool MustProbe(const ServiceMeasurements& measurements, TimePoint now) {
+  const bool capacity_known = measurements.capacity.effective_slots > 0;
+  return measurements.in_flight == 0 &&
+         (!capacity_known || now - measurements.last_end_at >= kProbeInterval);
+}
+
 AdmissionReason Decide(const Admission& admission,
                        const ServiceMeasurements& measurements,
                        const ClassMeasurements& own,
@@ -274,9 +362,7 @@
   if (Draw(admission, key) < by_caller.share) {
     return AdmissionReason::kWithinShare;
   }
-  // An instance without flows in flight does not contribute to the overload,
-  // and if it refused every flow, it could not detect the end of the overload.
-  if (measurements.in_flight == 0) {
+  if (MustProbe(measurements, now)) {
     return AdmissionReason::kNoneInFlight;
   }
   if (own.refused_since != TimePoint() &&
@@ -302,6 +388,7 @@
   const std::size_t priority = std::min<std::size_t>(
       own.flow_class.priority, counters.refused_by_priority.size() - 1);
   counters.refused_by_priority.at(priority) += admitted ? 0 : 1;
+  own.longer_admitted += admitted ? 1 : 0;
   own.counters.admitted += admitted ? 1 : 0;
   own.counters.refused += admitted ? 0 : 1;
   own.counters.starved += reason == AdmissionReason::kStarved ? 1 : 0;
@@ -329,11 +416,14 @@
   if (!HasRecentMeasurements(measurements, now)) {
     return 0;
   }
-  const double from_durations = SlownessFromDurations(measurements, now);
+  const double objective_excess = ObjectiveExcess(measurements.capacity);
+  const double from_durations =
+      SlownessFromDurations(measurements, now) * objective_excess;
   if (from_durations < kQueueingSlowness) {
     return from_durations;
   }
-  const double from_in_flight = SlownessFromInFlight(measurements, now);
+  const double from_in_flight =
+      SlownessFromInFlight(measurements, objective_excess, now);
   const double equal_weight_flows = from_in_flight < from_durations
                                         ? kEqualWeightFlowsWhenShorter
                                         : kEqualWeightFlows;
@@ -407,8 +497,10 @@
 void ResetMeasurements(Admission& admission) {
   for (ServiceMeasurements& measurements : admission.services) {
     measurements.objective_ms = 0;
-    measurements.capacity = {.effective_slots =
-                                 measurements.capacity.effective_slots};
+    // The servers' speed without queueing does not change with a stall.
+    measurements.capacity = {
+        .effective_slots = measurements.capacity.effective_slots,
+        .usual_slowness = measurements.capacity.usual_slowness};
   }
 }
 
--- a/Source/Admission/Admission.h
+++ b/Source/Admission/Admission.h
@@ -64,6 +64,10 @@
   /// Flows that were to be opened, admitted or not, with exponentially decaying
   /// weight.
   double recent_requests = 0;
+  /// The same with a longer decay time, `kCapacityDecayTime`.
+  double longer_requests = 0;
+  /// Those of `longer_requests` that were admitted.
+  double longer_admitted = 0;
   /// First refusal since the last admission; `TimePoint()` when there is none.
   TimePoint refused_since;
   CallerDemand callers;  ///< Only used with `Admission::fair_callers`.
@@ -127,7 +131,8 @@
 
 /// Returns the share of the flows of a class that are admitted now, before
 /// fairness among callers. It is above 0 only if it is 1 for all more urgent
-/// classes.
+/// classes that have recent requests; an instance with few flows, which goes by
+/// two measurements, only keeps to this in each of them.
 double AdmittedShare(const Admission& admission, std::uint32_t service,
                      const FlowClass& flow_class, TimePoint now);
 
@@ -158,8 +163,10 @@
 /// Sets the number of requests that the servers of a service can process at a
 /// time: their slots, by speed; 0 for servers that get no flows. When it falls
 /// by a factor, the rate of admitted flows falls by it at once. Nothing is
-/// refused if the remaining slots can process all flows. Precondition:
-/// `effective_slots` is not negative.
+/// refused if the remaining slots can process all flows. Once slots are known,
+/// queues that are almost full count as an overload even if they are shorter
+/// than the latency objective. Changes of less than 5 % are ignored.
+/// Precondition: `effective_slots` is not negative.
 void UpdateCapacity(Admission& admission, std::uint32_t service,
                     double effective_slots, TimePoint now);
 
--- a/Source/Admission/CallerDemand.cc
+++ b/Source/Admission/CallerDemand.cc
@@ -29,47 +29,42 @@
   });
 }
 
-/// Returns the level at which the callers get `budget` in total.
-double FairLevel(const CallerDemand& demand, double budget) {
-  const auto count = static_cast<double>(demand.callers.size());
-  double level = budget / count;
-  // Each pass excludes callers below the level, whose unused part raises it.
-  // The level never exceeds the final one, so it can be used after any pass.
-  constexpr int kMaxPasses = 16;
-  for (int pass = 0; pass < kMaxPasses; ++pass) {
-    double below = 0;
-    double above_count = 0;
-    for (const TrackedCaller& tracked : demand.callers) {
-      const bool is_below = tracked.demand <= level;
-      below += is_below ? tracked.demand : 0;
-      above_count += is_below ? 0 : 1;
-    }
-    if (above_count == 0) {
-      return level;
-    }
-    const double next = (budget - below) / above_count;
-    if (next <= level) {
-      return level;
-    }
-    level = next;
+/// Returns the share of the sampled requests that is admitted at a level.
+double ShareAtLevel(const CallerDemand& demand, double level) {
+  const std::size_t count =
+      std::min<std::uint64_t>(demand.requests, kSampledRequests);
+  double admitted = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    admitted += std::min(1.0, level / demand.sampled.at(i));
   }
-  return level;
+  return admitted / static_cast<double>(count);
 }
 
-}  // namespace
+/// Returns the level at which `share` of the sampled requests is admitted.
+/// Precondition: a request was recorded.
+double FairLevel(const CallerDemand& demand, double share) {
+  double low = 0;
+  double high = *std::max_element(demand.sampled.begin(), demand.sampled.end());
+  constexpr int kSteps = 20;
+  for (int step = 0; step < kSteps; ++step) {
+    const double middle = (low + high) / 2;
+    (ShareAtLevel(demand, middle) < share ? low : high) = middle;
+  }
+  return high;
+}
 
-void RecordCaller(CallerDemand& demand, std::uint32_t caller, TimePoint now) {
-  Decay(demand, now);
+/// Adds a request to a caller's demand, which is returned.
+double AddRequest(CallerDemand& demand, std::uint32_t caller) {
   const auto known = std::find_if(
       demand.callers.begin(), demand.callers.end(),
       [&](const TrackedCaller& item) { return item.caller == caller; });
   if (known != demand.callers.end()) {
     known->demand += 1;
-    return;
+    return known->demand;
   }
   if (demand.callers.size() < kMaxTrackedCallers) {
     demand.callers.push_back({.caller = caller, .demand = 1});
-    return;
+    return 1;
   }
   // The new caller takes over the lowest demand: it may have been replaced
   // itself before, so its demand is at most that much higher.
@@ -80,6 +75,16 @@
       });
   lowest->caller = caller;
   lowest->demand += 1;
+  return lowest->demand;
+}
+
+}  // namespace
+
+void RecordCaller(CallerDemand& demand, std::uint32_t caller, TimePoint now) {
+  Decay(demand, now);
+  const double own = AddRequest(demand, caller);
+  demand.sampled.at(demand.requests % kSampledRequests) = own;
+  demand.requests += 1;
 }
 
 CallerShare ShareOfCaller(const CallerDemand& demand, std::uint32_t caller,
@@ -94,7 +99,7 @@
     return {.share = share};
   }
   const double mean = total / static_cast<double>(demand.callers.size());
-  const double level = FairLevel(demand, share * total);
+  const double level = FairLevel(demand, share);
   return {.share = std::min(1.0, level / own),
           .heavy = own > kHeavyMultiple * mean};
 }
--- a/Source/Admission/CallerDemand.h
+++ b/Source/Admission/CallerDemand.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -9,8 +11,9 @@
 ///
 /// An entry instance estimates from its own requests how much each caller asks
 /// for. When only a share of the requests can be admitted, there is a level:
-/// callers that ask for less get all, the others get as much as the level. A
-/// caller is an IP address. Memory is bounded: of more callers than the limit,
+/// callers that ask for less get all, the others get as much as the level. The
+/// level follows from the demands of the callers of recent requests. A caller
+/// is an IP address. Memory is bounded: of more callers than the limit,
 /// those with the highest demand are kept (the Space-Saving algorithm). Plain
 /// state and pure functions; not thread safe.
 namespace filbertwall {
@@ -19,6 +22,9 @@
 /// requests is always among them.
 inline constexpr std::size_t kMaxTrackedCallers = 256;
 
+/// Number of recent requests from which the level follows.
+inline constexpr std::size_t kSampledRequests = 64;
+
 struct TrackedCaller {
   std::uint32_t caller = 0;  ///< IPv4 address.
   double demand = 0;         ///< Requests, with exponentially decaying weight.
@@ -27,6 +33,9 @@
 struct CallerDemand {
   std::vector<TrackedCaller> callers;  ///< At most `kMaxTrackedCallers`.
   TimePoint updated_at;                ///< Time to which demands are decayed.
+  /// The callers' demands at the latest requests, in a ring.
+  std::array<double, kSampledRequests> sampled{};
+  std::uint64_t requests = 0;  ///< Recorded so far.
 };
 
 /// Records a request of a caller. Precondition: `now` never decreases.
--- a/Source/Admission/ServiceCapacity.cc
+++ b/Source/Admission/ServiceCapacity.cc
@@ -7,18 +7,25 @@
 namespace filbertwall {
 namespace {
 
-/// Time constant of the exponential decay of `ends`.
-constexpr Milliseconds kEndsDecayTime{2000};
 /// Weight of a new duration in `mean_slowness`.
 constexpr double kDurationWeight = 0.05;
-/// Weight with which `usual_slowness` follows a higher mean.
-constexpr double kUsualWeight = 0.001;
+/// `usual_slowness` is known after this many flows.
+constexpr std::uint32_t kMinMeasured = 20;
+/// Time constant with which `usual_slowness` follows a higher mean. It is
+/// longer than an overload usually lasts.
+constexpr Milliseconds kUsualRiseTime{120000};
+/// A flow that waits in an almost full queue takes this multiple of the usual
+/// duration. Servers with a full queue reject flows, whatever their class.
+constexpr double kFullQueueMultiple = 5;
 /// Durations that vary without queueing reach this multiple of the usual one.
 constexpr double kUsualVariation = 1.3;
 /// Highest utilization at which the answers are in time.
 constexpr double kTargetUtilization = 0.9;
 /// Fewer ends than this give no estimate.
 constexpr double kMinEnds = 10;
+/// Smaller changes of the effective slots are ignored: the speeds of the
+/// servers are measured, so their sum varies.
+constexpr double kMinChange = 0.05;
 /// Lower factors count as this one, so that a service that has lost all
 /// capacity still admits flows once capacity returns.
 constexpr double kMinFactor = 0.05;
@@ -31,36 +38,55 @@
   const double elapsed_ms =
       std::chrono::duration<double, std::milli>(now - capacity.last_end_at)
           .count();
-  return capacity.ends * std::exp(-elapsed_ms / ToDouble(kEndsDecayTime));
-}
-
-bool IsLimited(const ServiceCapacity& capacity, TimePoint now) {
-  return capacity.limit_per_ms > 0 &&
-         now - capacity.limited_at < kLimitDuration;
+  return capacity.ends * std::exp(-elapsed_ms / ToDouble(kCapacityDecayTime));
 }
 
 /// Returns the rate of ends at which the servers would be used up to the
 /// target.
 double SustainablePerMillisecond(const ServiceCapacity& capacity,
                                  TimePoint now) {
-  const double ends = DecayedEnds(capacity, now);
   const double utilization = EstimatedUtilization(capacity);
-  if (ends < kMinEnds || utilization <= 0) {
+  if (DecayedEnds(capacity, now) < kMinEnds || utilization <= 0) {
     return std::numeric_limits<double>::infinity();
   }
-  return ends / ToDouble(kEndsDecayTime) * kTargetUtilization / utilization;
+  return EndsPerMillisecond(capacity, now) * kTargetUtilization / utilization;
+}
+
+bool IsLimited(const ServiceCapacity& capacity, TimePoint now) {
+  return capacity.limit_per_ms > 0 &&
+         now - capacity.limited_at < kLimitDuration;
 }
 
 }  // namespace
 
 void RecordEnd(ServiceCapacity& capacity, double slowness, TimePoint now) {
+  const double elapsed_ms =
+      std::chrono::duration<double, std::milli>(now - capacity.last_end_at)
+          .count();
   capacity.ends = DecayedEnds(capacity, now) + 1;
   capacity.last_end_at = now;
-  const bool first = capacity.usual_slowness <= 0;
-  capacity.mean_slowness +=
-      (first ? 1 : kDurationWeight) * (slowness - capacity.mean_slowness);
+  capacity.measured += capacity.measured < kMinMeasured ? 1 : 0;
+  capacity.mean_slowness += std::max(kDurationWeight, 1.0 / capacity.measured) *
+                            (slowness - capacity.mean_slowness);
+  if (capacity.measured < kMinMeasured) {
+    return;
+  }
   const double excess = capacity.mean_slowness - capacity.usual_slowness;
-  capacity.usual_slowness += (first || excess < 0 ? 1 : kUsualWeight) * excess;
+  const bool set = capacity.usual_slowness <= 0 || excess < 0;
+  capacity.usual_slowness +=
+      excess * (set ? 1 : 1 - std::exp(-elapsed_ms / ToDouble(kUsualRiseTime)));
+}
+
+double EndsPerMillisecond(const ServiceCapacity& capacity, TimePoint now) {
+  return DecayedEnds(capacity, now) / ToDouble(kCapacityDecayTime);
+}
+
+double ObjectiveExcess(const ServiceCapacity& capacity) {
+  const double full_queue = kFullQueueMultiple * capacity.usual_slowness;
+  if (capacity.effective_slots <= 0 || full_queue <= 0) {
+    return 1;
+  }
+  return std::max(1.0, 1 / full_queue);
 }
 
 double EstimatedUtilization(const ServiceCapacity& capacity) {
@@ -76,11 +102,12 @@
 double SetEffectiveSlots(ServiceCapacity& capacity, double effective_slots,
                          TimePoint now) {
   const double before = capacity.effective_slots;
+  if (std::abs(effective_slots - before) < kMinChange * before) {
+    return 1;
+  }
   capacity.effective_slots = effective_slots;
   if (before <= 0) {
     capacity.limit_per_ms = 0;
-  }
-  if (before <= 0 || effective_slots == before) {
     return 1;
   }
   const double factor = std::max(kMinFactor, effective_slots / before);
@@ -92,6 +119,7 @@
                                    SustainablePerMillisecond(capacity, now));
   capacity.limit_per_ms = std::isfinite(possible) ? possible * factor : 0;
   capacity.limited_at = now;
+  capacity.ends *= factor;
   return factor;
 }
 
--- a/Tests/Forwarding/ForwarderTest.cc
+++ b/Tests/Forwarding/ForwarderTest.cc
@@ -431,6 +431,31 @@
   CHECK(open(502).verdict == Verdict::kForward);
 }
 
+/// Guards against routes whose priority does not reach admission control or the
+/// order of late openings.
+TEST(Forwarder, AdmissionAndLateOpeningsGetThePriorityOfTheRoute) {
+  wire::RoutesUpdate routes = MakeRoutes(0, 9, "proof");
+  routes.mutable_set(0)->set_objective_ms(100);
+  routes.mutable_set(0)->set_kind(wire::REQUEST_SAFE);
+  routes.mutable_set(0)->set_priority(3);
+  ApplyRoutes(this->forwarder.routes, routes, this->forwarder.placement);
+  const FlowClass expected{.priority = 3, .retryable = true};
+  const ServiceIndex service =
+      this->forwarder.placement.servers[this->Decide(OpeningPacket(1)).server]
+          .service;
+  const auto& classes = this->forwarder.admission.services[service].classes;
+  LONGS_EQUAL(1, classes.size());
+  CHECK(classes[0].flow_class == expected);
+  FlowPacket late = OpeningPacket(2, 1);
+  late.since_first_copy = Milliseconds(200);
+  Decision decision = this->Decide(late);
+  for (; decision.verdict == Verdict::kForward; decision = this->Decide(late)) {
+    late.key.caller.port += 1;
+  }
+  CHECK(decision.reason == ForwardReason::kLate);
+  CHECK(decision.late_order.flow_class == expected);
+}
+
 TEST(Forwarder, LateOpeningsWaitForCapacityThatOthersLeave) {
   wire::RoutesUpdate routes = MakeRoutes(0, 9, "proof");
   routes.mutable_set(0)->set_objective_ms(100);
--- a/Tests/Settings/SettingsTest.cc
+++ b/Tests/Settings/SettingsTest.cc
@@ -108,6 +108,20 @@
   LONGS_EQUAL(1, parsed.settings.fleet.tolerated_losses);
 }
 
+/// Guards against a change of who is refused that no setting asks for.
+TEST(Settings, FairCallersIsOffUnlessItIsSetToTrue) {
+  const auto parse = [](const std::string& line) {
+    return Parse(MakeText("") + "[fleet]\n" + line + "\n");
+  };
+  CHECK_FALSE(parse("").settings.fleet.fair_callers);
+  CHECK_FALSE(parse("fair_callers = false").settings.fleet.fair_callers);
+  CHECK(parse("fair_callers = true").settings.fleet.fair_callers);
+  const ParsedSettings bad = parse("fair_callers = yes");
+  CHECK_FALSE(bad.settings.fleet.fair_callers);
+  LONGS_EQUAL(1, bad.findings.size());
+  STRCMP_EQUAL("true or false", bad.findings[0].expected.c_str());
+}
+
 TEST(Settings, AFileThatEndsAnywhereIsNotUsable) {
   const std::string text = MakeText("data_centre = dc");
   const std::string needed = text.substr(0, text.size() - 1);
