--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -36,6 +36,7 @@
   std::map<std::string, std::string> regions;  ///< By data centre.
   /// Whether callers that ask for the most are refused first.
   bool fair_callers = false;
+  double hedge_openings = 0;      ///< Share of openings; 0: none are hedged.
   std::uint64_t incarnation = 0;  ///< Differs at each start.
 };
 
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -3,6 +3,7 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -256,6 +257,27 @@
   };
 }
 
+/// Accepts a share of extra work. Digits after the third decimal place are
+/// rejected, so that a value reads the same everywhere.
+Setter ShareSetter(double& target) {
+  return [&target](Parser& parser, const std::string& value) {
+    constexpr double kMaxShare = 0.5;
+    constexpr std::size_t kMaxLength = 5;
+    constexpr std::string_view kCharacters = "0123456789.";
+    double share = 0;
+    const char* const end = value.data() + value.size();
+    const auto [rest, error] = std::from_chars(value.data(), end, share);
+    const bool is_plain =
+        value.find_first_not_of(kCharacters) == std::string::npos;
+    if (error != std::errc() || rest != end || !is_plain ||
+        value.size() > kMaxLength || share > kMaxShare) {
+      Report(parser, value, "a share from 0 to 0.5 such as 0.02");
+      return;
+    }
+    target = share;
+  };
+}
+
 using Setters = std::map<std::string, Setter>;
 
 Setters FleetSetters(FleetSettings& fleet) {
@@ -265,6 +287,7 @@
           {"announce_interval", DurationSetter(fleet.announce_interval)},
           {"metrics_port", PortSetter(fleet.metrics_port)},
           {"refuse_overload", BooleanSetter(fleet.refuse_overload)},
+          {"hedge_openings", ShareSetter(fleet.hedge_openings)},
           {"fair_callers", BooleanSetter(fleet.fair_callers)},
           {"peer_port", PortSetter(fleet.peer_port)},
           {"regions", RegionsSetter(fleet.regions)}};
@@ -283,7 +306,8 @@
           {"backend_lease", DurationSetter(settings.backend_lease)},
           {"order_memory", DurationSetter(settings.order_memory)},
           {"order_limit", NumberSetter(settings.order_limit, 1)},
-          {"flow_limit", NumberSetter(settings.flow_limit, 1)}};
+          {"flow_limit", NumberSetter(settings.flow_limit, 1)},
+          {"hedge_budget", ShareSetter(settings.hedge_budget)}};
 }
 
 Setters SecuritySetters(Settings& settings) {
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -45,6 +45,8 @@
   bool refuse_overload = true;  ///< Refuse new flows that would be served late.
   /// Among the callers of a class, refuse those that ask for the most.
   bool fair_callers = false;
+  /// Share of the openings that may be sent to a second server; 0: none.
+  double hedge_openings = 0;
   /// Port at which the other instances receive messages; 0: the port of
   /// control_address.
   std::uint16_t peer_port = 0;
@@ -66,6 +68,8 @@
   Milliseconds order_memory{600000};   ///< Retention of order records.
   std::uint32_t order_limit = 50000;   ///< Maximum number of order records.
   std::uint32_t flow_limit = 1000000;  ///< Maximum number of tracked flows.
+  /// Share of the requests that may be sent to a second server; 0: none.
+  double hedge_budget = 0;
   SecuritySettings security;
   FleetSettings fleet;
   std::map<std::uint32_t, PeerSettings> peers;
