Requests: Send slow idempotent requests to a second server within a budget

Cause: a few attempts that take many times as long as usual decide the slowest answers.

Change: [instance] hedge_budget, a share of a service's requests (0 by default). A request that takes longer than 95 to 98 % of its rule's recent requests is sent to a second, warm and healthy server with a free slot, unless the service queues or sheds. The first answer counts, the other attempt is cancelled; a failed attempt leaves the request to the other one.

--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -55,6 +55,17 @@
   }
 }
 
+void LogHedgesOverBudget(NodeContext& context) {
+  const auto found = context.node.requests.counters.find("hedges_over_budget");
+  if (found != context.node.requests.counters.end() &&
+      found->second > context.node.logged_hedges_over_budget) {
+    context.node.logged_hedges_over_budget = found->second;
+    Log(context, EventId::kHedgesOverBudget,
+        "hedged requests over budget, since the start: " +
+            std::to_string(found->second));
+  }
+}
+
 void HandleTick(NodeContext& context) {
   Node& node = context.node;
   if (node.has_replica) {
@@ -71,6 +82,7 @@
     node.next_housekeeping_at = context.now + kHousekeepingInterval;
     RemoveExpiredBackends(node.directory, context.now);
     RemoveExpiredOrders(node.orders, context.now);
+    LogHedgesOverBudget(context);
   }
   FinishStopIfDrained(context);
 }
@@ -328,6 +340,7 @@
   node.flows.self = settings.id;
   node.flows.limit = settings.flow_limit;
   node.requests.incarnation = initial_state.incarnation;
+  node.requests.hedge_share = settings.hedge_budget;
   node.has_replica = settings.roles.control;
   node.replica.config.self = settings.id;
   if (settings.roles.control) {
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -92,6 +92,7 @@
   std::uint64_t next_token = 1;    ///< Identifier of the next submission.
   std::uint32_t known_leader = 0;  ///< 0: none known.
   std::map<std::string, std::uint64_t> counters;  ///< By name in the dump.
+  std::uint64_t logged_hedges_over_budget = 0;    ///< By the last FW-6015.
 };
 
 struct NodeStarted {};
--- a/Source/Requests/Balancer.cc
+++ b/Source/Requests/Balancer.cc
@@ -70,6 +70,10 @@
   return backend.own_in_flight + others * decay;
 }
 
+bool IsWarm(const Backend& backend, TimePoint now) {
+  return now - backend.ready_since >= kColdStartRamp;
+}
+
 double EffectiveSlots(const Backend& backend, const Rules& rules,
                       TimePoint now) {
   double slots = backend.announcement.slots();
--- a/Source/Requests/Balancer.h
+++ b/Source/Requests/Balancer.h
@@ -42,6 +42,9 @@
 /// latter number decays exponentially with the age of the announcement.
 double EstimatedLoad(const Backend& backend, TimePoint now);
 
+/// Returns whether the server has been READY long enough to use all its slots.
+bool IsWarm(const Backend& backend, TimePoint now);
+
 /// Returns the number of slots usable now: the announced slots, capped by the
 /// rules. After the server became READY, the number rises linearly from 1.
 double EffectiveSlots(const Backend& backend, const Rules& rules,
--- a/Source/Requests/RequestContext.h
+++ b/Source/Requests/RequestContext.h
@@ -47,6 +47,35 @@
 void FinishFromRecord(RequestContext& context, OpenRequest& open,
                       const wire::OrderRecord& record);
 
+struct LaunchedAttempt {
+  std::uint64_t attempt = 0;
+  TimePoint deadline;
+};
+
+/// Sends an attempt of the request and takes a slot of the server for it.
+LaunchedAttempt LaunchAttempt(RequestContext& context, const OpenRequest& open,
+                              const Endpoint& backend);
+/// Forgets an attempt and releases its slot.
+void ReleaseAttempt(RequestContext& context, const std::string& service,
+                    std::uint64_t attempt, const Endpoint& backend);
+/// Returns a seed for `ChooseBackend`.
+std::uint64_t MakeChoiceSeed(const RequestTier& tier);
+
+/// Sets when the running attempt is hedged, if its request may be.
+void ScheduleHedge(RequestContext& context, OpenRequest& open);
+/// Sends the second attempt that is due. Puts it off while the service lacks
+/// capacity, no other healthy server has a free slot or the budget is used up.
+void SendHedgeIfAllowed(RequestContext& context, OpenRequest& open);
+/// Makes the other attempt the current one and the current one the other.
+void SwapAttempts(OpenRequest& open);
+/// After the current attempt has failed, makes the other one the only attempt.
+/// Returns false when there is none.
+bool ContinueWithOtherAttempt(OpenRequest& open);
+/// Cancels the attempt that runs beside the current one, if there is one.
+void CancelOtherAttempt(RequestContext& context, OpenRequest& open);
+/// Counts which of two attempts has answered a hedged request: the current one.
+void RecordWinner(RequestContext& context, const OpenRequest& open);
+
 /// Sends the request to a backend server, queues it, or rejects it.
 void Dispatch(RequestContext& context, OpenRequest& open);
 /// Dispatches queued requests to free slots, interactive requests first.
--- a/Source/Requests/RequestDispatch.cc
+++ b/Source/Requests/RequestDispatch.cc
@@ -24,25 +24,15 @@
 void SendAttempt(RequestContext& context, OpenRequest& open,
                  const Endpoint& address) {
   const TimePoint now = context.environment.now;
-  Backend& backend = context.environment.directory.backends.at(address);
-  ServiceLoad& load = context.tier.services[open.service];
-  backend.own_in_flight += 1;
-  load.running += 1;
+  const LaunchedAttempt launched = LaunchAttempt(context, open, address);
   open.phase = RequestPhase::kRunning;
   open.backend = address;
+  open.first_attempt_at = open.attempts == 0 ? now : open.first_attempt_at;
   open.attempts += 1;
-  open.attempt = context.tier.next_attempt++;
+  open.attempt = launched.attempt;
   open.attempt_started_at = now;
-  const auto remaining =
-      std::chrono::duration_cast<Milliseconds>(open.deadline - now);
-  // Divides the remaining time equally between this attempt and the retries
-  // that are left.
-  open.attempt_deadline = now + remaining / (open.retries_left + 1);
-  context.tier.attempts[open.attempt] = open.id;
-  StartAttempt effect{
-      .attempt = open.attempt, .backend = address, .request = open.request};
-  SetDeadlineHeader(effect.request, remaining);
-  context.effects.emplace_back(std::move(effect));
+  open.attempt_deadline = launched.deadline;
+  ScheduleHedge(context, open);
 }
 
 /// Estimates the queueing delay of a request with `ahead` requests before it,
@@ -63,6 +53,7 @@
   if (ahead >= open.queue_limit || expected_start >= open.deadline) {
     open.phase = RequestPhase::kQueued;
     Count(context, "shed");
+    load.last_shed_at = context.environment.now;
     FinishNotRun(context, open, "all slots are taken");
     return;
   }
@@ -71,10 +62,9 @@
 }
 
 Choice ChooseBackendFor(RequestContext& context, const OpenRequest& open) {
-  const ChoiceRequest request{
-      .service = open.service,
-      .seed = MixHash(context.tier.next_attempt, context.tier.incarnation),
-      .already_tried = open.tried};
+  const ChoiceRequest request{.service = open.service,
+                              .seed = MakeChoiceSeed(context.tier),
+                              .already_tried = open.tried};
   return ChooseBackend(context.environment.directory, context.environment.rules,
                        request, context.environment.now);
 }
@@ -98,6 +88,30 @@
 
 }  // namespace
 
+std::uint64_t MakeChoiceSeed(const RequestTier& tier) {
+  return MixHash(tier.next_attempt, tier.incarnation);
+}
+
+LaunchedAttempt LaunchAttempt(RequestContext& context, const OpenRequest& open,
+                              const Endpoint& backend) {
+  const TimePoint now = context.environment.now;
+  context.environment.directory.backends.at(backend).own_in_flight += 1;
+  context.tier.services[open.service].running += 1;
+  const auto remaining =
+      std::chrono::duration_cast<Milliseconds>(open.deadline - now);
+  // Divides the remaining time equally between this attempt and the retries
+  // that are left.
+  const LaunchedAttempt launched{
+      .attempt = context.tier.next_attempt++,
+      .deadline = now + remaining / (open.retries_left + 1)};
+  context.tier.attempts[launched.attempt] = open.id;
+  StartAttempt effect{
+      .attempt = launched.attempt, .backend = backend, .request = open.request};
+  SetDeadlineHeader(effect.request, remaining);
+  context.effects.emplace_back(std::move(effect));
+  return launched;
+}
+
 void Dispatch(RequestContext& context, OpenRequest& open) {
   const ServiceLoad& load = context.tier.services[open.service];
   const bool interactive = open.traffic_class == TrafficClass::kInteractive;
--- a/Source/Requests/RequestTier.cc
+++ b/Source/Requests/RequestTier.cc
@@ -62,6 +62,9 @@
                       TimePoint now) {
   const RequestRule defaults;
   const RequestRule& applied = rule == nullptr ? defaults : *rule;
+  if (rule != nullptr) {
+    open.rule = rule->method + " " + rule->path;
+  }
   open.idempotent = IsIdempotent(rule, open.request.method);
   open.retries_left = open.idempotent ? applied.retries : 0;
   open.queue_limit = applied.queue;
@@ -112,6 +115,8 @@
   constexpr double kMaxRetryTokens = 20.0;
   load.retry_tokens =
       std::min(load.retry_tokens + kRetryTokensPerRequest, kMaxRetryTokens);
+  load.hedge_budget.share = context.tier.hedge_share;
+  EarnExtraWork(load.hedge_budget);
   OpenRequest& stored =
       context.tier.open.emplace(event.id, std::move(open)).first->second;
   if (needs_claim) {
@@ -128,16 +133,8 @@
 }
 
 /// Releases the slot held by the current attempt.
-void ReleaseSlot(RequestContext& context, OpenRequest& open) {
-  context.tier.attempts.erase(open.attempt);
-  ServiceLoad& load = context.tier.services[open.service];
-  load.running -= load.running > 0 ? 1 : 0;
-  const auto backend =
-      context.environment.directory.backends.find(open.backend);
-  if (backend != context.environment.directory.backends.end() &&
-      backend->second.own_in_flight > 0) {
-    backend->second.own_in_flight -= 1;
-  }
+void ReleaseSlot(RequestContext& context, const OpenRequest& open) {
+  ReleaseAttempt(context, open.service, open.attempt, open.backend);
 }
 
 void RecordAttemptHealth(RequestContext& context, const OpenRequest& open,
@@ -163,6 +160,7 @@
 void RecordRefusal(RequestContext& context, const OpenRequest& open) {
   constexpr Milliseconds kInitialPause{10};
   constexpr std::uint32_t kMaxDoublings = 3;
+  context.tier.services[open.service].last_refusal_at = context.environment.now;
   const auto found = context.environment.directory.backends.find(open.backend);
   if (found == context.environment.directory.backends.end()) {
     return;
@@ -182,6 +180,13 @@
       MillisecondsBetween(open.attempt_started_at, context.environment.now));
   load.mean_service_ms +=
       (elapsed_ms - load.mean_service_ms) * kSmoothingFactor;
+  if (context.tier.hedge_share > 0) {
+    // A hedged request counts from its first attempt on: it would otherwise
+    // look fast, and the delay would fall from hedge to hedge.
+    AddRequestDuration(load.durations, open.rule,
+                       std::chrono::duration_cast<Milliseconds>(
+                           context.environment.now - open.first_attempt_at));
+  }
 }
 
 void CancelRunning(RequestContext& context, OpenRequest& open) {
@@ -200,6 +205,7 @@
   Count(context, "callers_left");
   if (open.phase == RequestPhase::kRunning) {
     if (open.idempotent) {
+      CancelOtherAttempt(context, open);
       CancelRunning(context, open);
       CloseRequest(context, open, {});
     }
@@ -265,35 +271,61 @@
   FinishUnknown(context, open, reason);
 }
 
+/// Cancels the attempt that has taken too long. Its request goes on with the
+/// other attempt, if there is one, and is otherwise dispatched again.
+void HandleAttemptTimeout(RequestContext& context, OpenRequest& open) {
+  RecordAttemptHealth(context, open, false);
+  CancelRunning(context, open);
+  if (context.environment.now >= open.deadline) {
+    CancelOtherAttempt(context, open);
+  }
+  open.may_have_run = true;
+  if (!ContinueWithOtherAttempt(open)) {
+    RetryOrGiveUp(context, open, "no answer came in time");
+  }
+}
+
 void HandleAttemptEnded(RequestContext& context, const AttemptEnded& event) {
   const auto request = context.tier.attempts.find(event.attempt);
   if (request == context.tier.attempts.end()) {
     return;  // The attempt was cancelled; its late response is discarded.
   }
   OpenRequest& open = context.tier.open.at(request->second);
+  if (event.attempt == open.hedge.other_attempt) {
+    SwapAttempts(open);
+  }
   ReleaseSlot(context, open);
   switch (event.result.kind) {
     case AttemptResult::Kind::kAnswered:
       if (IsRefusedBeforeRunning(event.result.answer)) {
         Count(context, "refused_by_backend");
         RecordRefusal(context, open);
-        RetryOnOtherServer(context, open, kMaxRefusedAttempts);
+        if (!ContinueWithOtherAttempt(open)) {
+          RetryOnOtherServer(context, open, kMaxRefusedAttempts);
+        }
         break;
       }
       RecordAttemptHealth(context, open, event.result.answer.status() < 500);
       RecordServiceTime(context, open);
+      RecordWinner(context, open);
+      CancelOtherAttempt(context, open);
       FinishComplete(context, open, event.result.answer);
       break;
     case AttemptResult::Kind::kNotSent:
       RecordAttemptHealth(context, open, false);
       Count(context, "attempts_not_sent");
-      RetryOnOtherServer(context, open, kMaxUnsentAttempts);
+      if (!ContinueWithOtherAttempt(open)) {
+        RetryOnOtherServer(context, open, kMaxUnsentAttempts);
+      }
       break;
     case AttemptResult::Kind::kLost:
       RecordAttemptHealth(context, open, false);
       Count(context, "attempts_lost");
-      RetryOrGiveUp(context, open,
-                    "the connection to the backend server failed");
+      open.may_have_run = true;
+      if (!ContinueWithOtherAttempt(open)) {
+        RetryOrGiveUp(context, open,
+                      "the connection to the backend server failed");
+      }
       break;
   }
   DrainQueues(context);
@@ -321,9 +353,9 @@
       return;
     case RequestPhase::kRunning:
       if (now >= open.deadline || now >= open.attempt_deadline) {
-        RecordAttemptHealth(context, open, false);
-        CancelRunning(context, open);
-        RetryOrGiveUp(context, open, "no answer came in time");
+        HandleAttemptTimeout(context, open);
+      } else if (now >= open.hedge.due_at) {
+        SendHedgeIfAllowed(context, open);
       }
       return;
     case RequestPhase::kRecording:
@@ -395,6 +427,18 @@
   context.tier.counters[counter] += 1;
 }
 
+void ReleaseAttempt(RequestContext& context, const std::string& service,
+                    std::uint64_t attempt, const Endpoint& backend) {
+  context.tier.attempts.erase(attempt);
+  ServiceLoad& load = context.tier.services[service];
+  load.running -= load.running > 0 ? 1 : 0;
+  const auto found = context.environment.directory.backends.find(backend);
+  if (found != context.environment.directory.backends.end() &&
+      found->second.own_in_flight > 0) {
+    found->second.own_in_flight -= 1;
+  }
+}
+
 void FinishComplete(RequestContext& context, OpenRequest& open,
                     const wire::Answer& answer) {
   Count(context, "answered");
--- a/Source/Requests/RequestTier.h
+++ b/Source/Requests/RequestTier.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "Backends/Directory.h"
+#include "Base/ExtraWorkBudget.h"
 #include "Base/Time.h"
+#include "Requests/Hedging.h"
 #include "Rules/Rules.h"
 #include "Wire/wire.pb.h"
 
@@ -104,6 +106,9 @@
   TimePoint attempt_started_at;
   TimePoint attempt_deadline;
   Endpoint backend;
+  HedgeState hedge;
+  std::string rule;  ///< Method and path of its request rule; empty: none.
+  TimePoint first_attempt_at;
   ClaimState claim;
   RecordingState recording;
 };
@@ -116,6 +121,12 @@
   double mean_service_ms = 0.0;
   double retry_tokens = kInitialRetryTokens;
   std::uint32_t running = 0;
+  /// When a request was last refused for lack of slots, and an attempt by its
+  /// server.
+  std::optional<TimePoint> last_shed_at;
+  std::optional<TimePoint> last_refusal_at;
+  RequestDurations durations;
+  ExtraWorkBudget hedge_budget;
   std::deque<std::uint64_t> interactive;  ///< Queued request ids.
   std::deque<std::uint64_t> bulk;
 };
@@ -127,6 +138,8 @@
   std::vector<std::uint32_t> recorder_pool;  ///< All entry instances.
   std::uint64_t next_attempt = 1;
   bool stopping = false;
+  /// Share of a service's requests that may be hedged; 0: none.
+  double hedge_share = 0;
   std::map<std::uint64_t, OpenRequest> open;  ///< By request id.
   /// Maps the ids of current claims and of running attempts to request ids.
   std::map<std::uint64_t, std::uint64_t> attempts;
