--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -317,10 +317,9 @@
                         SetAsideRecords& records) {
   auto& demands = *request.mutable_demands();
   const auto cannot_be_used = [&](const wire::WarmupDemand& demand) {
-    const bool usable =
-        !CheckName(demand.service(), kMaxServiceBytes) &&
-        demand.flows_per_second() > 0 &&
-        demand.flows_per_second() <= kMaxWarmupFlowsPerSecond;
+    const bool usable = !CheckName(demand.service(), kMaxServiceBytes) &&
+                        demand.flows_per_second() > 0 &&
+                        demand.flows_per_second() <= kMaxWarmupFlowsPerSecond;
     if (!usable) {
       SetAside(records, InputError::kOutOfRange, demand.SerializeAsString());
     }
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -220,9 +220,9 @@
 /// Sends the request for leases on warm-up limits, if it is due.
 void RequestWarmup(EventContext& context) {
   EntryInstance& instance = context.instance;
-  WarmupRequestResult result = RequestWarmupLeases(
-      instance.warmup, instance.forwarder.placement,
-      instance.config.incarnation, context.now);
+  WarmupRequestResult result =
+      RequestWarmupLeases(instance.warmup, instance.forwarder.placement,
+                          instance.config.incarnation, context.now);
   for (LogRecord& record : result.records) {
     context.effects.emplace_back(std::move(record));
   }
--- a/Source/Fleet/WarmupGrants.cc
+++ b/Source/Fleet/WarmupGrants.cc
@@ -21,8 +21,8 @@
   const wire::ServerRecord& record = server.record;
   return record.phase() == wire::SERVER_READY && !record.silent() &&
          record.warmup_ms() > 0 &&
-         now <
-             server.updated_at + Milliseconds(record.warmup_ms()) + kWarmupGrace;
+         now < server.updated_at + Milliseconds(record.warmup_ms()) +
+                   kWarmupGrace;
 }
 
 /// Updates the cold servers in the table of leases, when due.
@@ -30,7 +30,8 @@
   ControlInstance& instance = context.instance;
   WarmupGrants& grants = instance.warmup;
   const bool changed = grants.refreshed_change != instance.registry.change;
-  const Milliseconds interval = changed ? kMinRefreshInterval : kRefreshInterval;
+  const Milliseconds interval =
+      changed ? kMinRefreshInterval : kRefreshInterval;
   if (context.now - grants.refreshed_at < interval) {
     return;
   }
@@ -95,9 +96,8 @@
   const Milliseconds remaining = RemainingWarmup(server->second, context.now);
   if (remaining.count() > 0) {
     Log(context, EventId::kWarmupStarted,
-        "server=" + id + " service=" + limit->first +
-            " warmup_ms=" + std::to_string(remaining.count()) +
-            " flows_per_second=" +
+        "server=" + id + " service=" + limit->first + " warmup_ms=" +
+            std::to_string(remaining.count()) + " flows_per_second=" +
             std::to_string(limit->second.flows_per_second) +
             " reason=" + reason);
   }
--- a/Source/Fleet/WarmupRequests.cc
+++ b/Source/Fleet/WarmupRequests.cc
@@ -40,9 +40,9 @@
 }
 
 std::string FindServiceName(const Placement& placement, ServiceIndex service) {
-  const auto found = std::find_if(
-      placement.services.begin(), placement.services.end(),
-      [&](const auto& item) { return item.second == service; });
+  const auto found =
+      std::find_if(placement.services.begin(), placement.services.end(),
+                   [&](const auto& item) { return item.second == service; });
   return found == placement.services.end() ? "" : found->first;
 }
 
@@ -64,13 +64,12 @@
                           now - requester.unanswered_since > kUnansweredLimit;
   if (unanswered && !requester.unanswered_logged) {
     requester.unanswered_logged = true;
-    records.push_back(LogRecord{
-        .id = EventId::kWarmupLeasesMissing,
-        .severity = Severity::kWarning,
-        .text =
-            "leader=" + FormatIp(requester.leader) + " unanswered_ms=" +
-            std::to_string(
-                MillisecondsBetween(requester.unanswered_since, now))});
+    records.push_back(LogRecord{.id = EventId::kWarmupLeasesMissing,
+                                .severity = Severity::kWarning,
+                                .text = "leader=" + FormatIp(requester.leader) +
+                                        " unanswered_ms=" +
+                                        std::to_string(MillisecondsBetween(
+                                            requester.unanswered_since, now))});
   }
 }
 
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -37,15 +37,15 @@
 
 /// Why a packet was forwarded, dropped or reset.
 enum class ForwardReason {
-  kToken,             ///< Forwarded by its token.
-  kKeptServer,        ///< Forwarded to the server that opened the flow, although
-                      ///< the token is that of another one that was asked.
-  kPlaced,            ///< A new flow was placed.
-  kPlacedAgain,       ///< Placed again: the first server did not answer.
-  kNoRoute,           ///< No route for the address.
-  kRouteDropped,      ///< The route of the address was removed.
-  kUnknownToken,      ///< No known server has this token.
-  kNoServer,          ///< The service has no usable server.
+  kToken,         ///< Forwarded by its token.
+  kKeptServer,    ///< Forwarded to the server that opened the flow, although
+                  ///< the token is that of another one that was asked.
+  kPlaced,        ///< A new flow was placed.
+  kPlacedAgain,   ///< Placed again: the first server did not answer.
+  kNoRoute,       ///< No route for the address.
+  kRouteDropped,  ///< The route of the address was removed.
+  kUnknownToken,  ///< No known server has this token.
+  kNoServer,      ///< The service has no usable server.
   kNoServerInRegion,  ///< Nor has it one in the regions of the route.
   kOverload,          ///< The answer would miss the latency objective.
   kLate,              ///< The answer will be late anyway; see `LateOpenings.h`.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -252,9 +252,9 @@
   server.slots = std::max<std::uint32_t>(1, record.slots());
   server.local = record.data_centre() == placement.config.data_centre;
   const TimePoint warmup_ends_at = now + Milliseconds(record.warmup_ms());
-  server.warmup_ends_at =
-      restarted ? warmup_ends_at
-                : std::max(server.warmup_ends_at, warmup_ends_at);
+  server.warmup_ends_at = restarted
+                              ? warmup_ends_at
+                              : std::max(server.warmup_ends_at, warmup_ends_at);
   const WarmupLimit* limit = FindWarmupLimit(placement.warmup, server.service);
   if (restarted && !added && limit != nullptr) {
     // It has just started, also if its report does not say so.
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -56,9 +56,9 @@
   return "";
 }
 
-/// Returns whether a warm-up with `next` left is a new one for a server that had
-/// `remaining` left. Messages are under way for some time, so about as much is
-/// no new one.
+/// Returns whether a warm-up with `next` left is a new one for a server that
+/// had `remaining` left. Messages are under way for some time, so about as much
+/// is no new one.
 bool StartsAnew(Milliseconds next, Milliseconds remaining) {
   constexpr Milliseconds kTolerance{1000};
   return next - remaining > std::min(kTolerance, next / 2);
@@ -77,8 +77,7 @@
   if (next.sequence() != known.sequence()) {
     return next.sequence() > known.sequence();
   }
-  return next.silent() != known.silent() ||
-         next.failing() != known.failing() ||
+  return next.silent() != known.silent() || next.failing() != known.failing() ||
          StartsAnew(Milliseconds(next.warmup_ms()),
                     RemainingWarmup(server, now));
 }
@@ -177,8 +176,8 @@
   const Milliseconds remaining =
       same_incarnation ? RemainingWarmup(server, now) : Milliseconds(0);
   const Milliseconds warmup(record.warmup_ms());
-  const bool differs = added || Differs(record, server.record) ||
-                       StartsAnew(warmup, remaining);
+  const bool differs =
+      added || Differs(record, server.record) || StartsAnew(warmup, remaining);
   if (!differs) {
     // The sequence number is stored so that older reports are rejected. Other
     // instances do not need it.
--- a/Source/Rules/RulesParser.cc
+++ b/Source/Rules/RulesParser.cc
@@ -211,10 +211,10 @@
                    "[prefer=stability|balance] [warmup=] [warmup-rate=]")) {
     return;
   }
-  const Options options = ParseOptions(
-      parser, words, 2,
-      {"protocol", "prefer", "health", "application", "flows", "tls", "warmup",
-       "warmup-rate"});
+  const Options options =
+      ParseOptions(parser, words, 2,
+                   {"protocol", "prefer", "health", "application", "flows",
+                    "tls", "warmup", "warmup-rate"});
   ServiceRule rule{.name = words[1], .origin = parser.origin};
   ReadTextOption(options, "health", rule.details.health_path);
   ReadTextOption(options, "application", rule.details.application);
--- a/Source/Warmup/WarmupBudget.h
+++ b/Source/Warmup/WarmupBudget.h
@@ -34,7 +34,7 @@
 
 /// New flows of a service with a limit.
 struct WarmupServiceDemand {
-  std::uint32_t flows = 0;  ///< Since the last request.
+  std::uint32_t flows = 0;             ///< Since the last request.
   std::uint32_t flows_per_second = 0;  ///< As last requested.
   TimePoint last_flow_at;              ///< `TimePoint{}`: never.
   TimePoint cold_until;  ///< Some server of the service is cold until then.
--- a/Source/Warmup/WarmupLeases.cc
+++ b/Source/Warmup/WarmupLeases.cc
@@ -76,12 +76,10 @@
   LeasedServer& server = found->second;
   const std::uint32_t others = ReservedByOthers(server, holder);
   std::vector<HeldLease>& held = server.held.at(holder);
-  std::erase_if(held, [&](const HeldLease& lease) {
-    return lease.held_until <= now;
-  });
+  std::erase_if(
+      held, [&](const HeldLease& lease) { return lease.held_until <= now; });
   ChangeServer(pool, id, server, [&](LeasedServer& item) {
-    item.reserved =
-        others + (held.empty() ? 0 : held.front().flows_per_second);
+    item.reserved = others + (held.empty() ? 0 : held.front().flows_per_second);
   });
   if (!held.empty()) {
     return;
@@ -209,8 +207,7 @@
     return granted;
   }
   RecordDemand(pool, holder, demand, now);
-  const TimePoint held_until =
-      now + leases.timing.lease + leases.timing.hold;
+  const TimePoint held_until = now + leases.timing.lease + leases.timing.hold;
   std::uint64_t missing = TargetOf(pool, leases.timing, holder, demand);
   const auto grant = [&](const std::string& id, std::uint64_t limit) {
     LeasedServer& server = pool.servers.at(id);
--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -30,8 +30,8 @@
   std::uint64_t sequence = 0;
   bool running = true;
   TimePoint next_report_at;
-  TimePoint limited_from;  ///< Flows are limited from this time on,
-  TimePoint limited_until;  ///< to this one.
+  TimePoint limited_from;           ///< Flows are limited from this time on,
+  TimePoint limited_until;          ///< to this one.
   std::vector<TimePoint> arrivals;  ///< Of new flows.
 };
 
@@ -63,8 +63,8 @@
 };
 
 std::string RulesText(std::uint64_t version, const std::string& options) {
-  return "version " + std::to_string(version) +
-         "  # by: test\nservice proof " + options +
+  return "version " + std::to_string(version) + "  # by: test\nservice proof " +
+         options +
          "  # by: test\naddress 10.0.0.1:80 proof timeout=2s  # by: test\n";
 }
 
@@ -154,14 +154,12 @@
 void OpenFlow(WarmupWorld& test, InstanceAddress entry) {
   Forwarder& forwarder = test.world.entries.at(entry).forwarder;
   const std::uint32_t caller = test.next_caller++;
-  FlowPacket packet{
-      .key = {.caller = {.ip = 0x0B000000 + caller, .port = 1000},
-              .address = *ParseEndpoint("10.0.0.1:80")},
-      .opens = true,
-      .retransmit_after = Milliseconds(200)};
+  FlowPacket packet{.key = {.caller = {.ip = 0x0B000000 + caller, .port = 1000},
+                            .address = *ParseEndpoint("10.0.0.1:80")},
+                    .opens = true,
+                    .retransmit_after = Milliseconds(200)};
   DetectStall(test.world.entries.at(entry), test.world.now);
-  const Decision decision =
-      DecidePacket(forwarder, packet, test.world.now);
+  const Decision decision = DecidePacket(forwarder, packet, test.world.now);
   if (decision.verdict != Verdict::kForward) {
     test.refused += 1;
     return;
@@ -206,9 +204,9 @@
         const auto left = server.limited_until - test.world.now;
         const std::int64_t left_ms =
             std::chrono::duration_cast<Milliseconds>(left).count();
-        ReportServer(test, id,
-                     static_cast<std::uint32_t>(
-                         std::max<std::int64_t>(0, left_ms)));
+        ReportServer(
+            test, id,
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, left_ms)));
       }
     }
     CloseFlows(test);
@@ -307,10 +305,10 @@
 void QueueForFrozen(WarmupWorld& test) {
   test.world.on_send = [&test](InstanceAddress from,
                                const SendMessage& effect) {
-    test.lease_messages += effect.message.has_warmup_request() ||
-                                   effect.message.has_warmup_grant()
-                               ? 1
-                               : 0;
+    test.lease_messages +=
+        effect.message.has_warmup_request() || effect.message.has_warmup_grant()
+            ? 1
+            : 0;
     if (test.frozen.contains(effect.to)) {
       test.queued.emplace_back(
           effect.to, PeerMessage{.from = from, .message = effect.message});
@@ -366,10 +364,11 @@
   RunWithFlows(test, Milliseconds(2000));
 }
 
-/// A history in which the leader stops, and the holder of the leases is cut off,
-/// while another entry instance has callers from then on: breaks the limit when the next leader grants at once. Leases
-/// are longer than usual: it takes about as long as the usual ones until the
-/// next leader is elected and its address is known.
+/// A history in which the leader stops, and the holder of the leases is cut
+/// off, while another entry instance has callers from then on: breaks the limit
+/// when the next leader grants at once. Leases are longer than usual: it takes
+/// about as long as the usual ones until the next leader is elected and its
+/// address is known.
 void StopLeader(WarmupWorld& test) {
   constexpr Milliseconds kLongLease{2500};
   for (auto& [id, entry] : test.world.entries) {
@@ -421,8 +420,7 @@
 
 // Guards against a rate below one that allows nothing.
 TEST(Warmup, ARateBelowOneAllowsOneFlowASecond) {
-  WarmupWorld test =
-      MakeWarmupWorld(3, 2, 2, 50, "warmup=8s warmup-rate=0.25");
+  WarmupWorld test = MakeWarmupWorld(3, 2, 2, 50, "warmup=8s warmup-rate=0.25");
   RestartServers(test, 0, 1);
   RunWithFlows(test, kWarmup);
   LONGS_EQUAL(1, MaxFlowsInASecond(test));
@@ -691,8 +689,8 @@
   test.plant = [](WarmupWorld& world) {
     // As if the clock stood still while the instance is suspended.
     for (const InstanceAddress id : world.frozen) {
-      for (auto& [index, server] : world.world.entries.at(id)
-                                       .forwarder.placement.warmup.servers) {
+      for (auto& [index, server] :
+           world.world.entries.at(id).forwarder.placement.warmup.servers) {
         server.requested_at += kStep;
       }
     }
--- a/Tests/Platform/ConfigDocumentTest.cc
+++ b/Tests/Platform/ConfigDocumentTest.cc
@@ -335,7 +335,7 @@
 
 TEST(ConfigDocument, WarmupLimitsAreReadBackAsSent) {
   const std::vector<std::pair<const char*, const char*>> cases = {
-      {"10.0", "2.0"}, {"0.0", "0.0"},  {"7.5", "0.25"},     {"8", "3"},
+      {"10.0", "2.0"}, {"0.0", "0.0"}, {"7.5", "0.25"},      {"8", "3"},
       {"3600", "1e6"}, {"0", "1e-07"}, {"12.125", "1000000"}};
   for (const auto& [duration, rate] : cases) {
     Json document = MakeDocument();
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -252,13 +252,11 @@
       MergeServerRecord(this->registry, record, kStart + Milliseconds(2100)));
   record.set_sequence(3);
   record.set_warmup_ms(8000);
-  CHECK(
-      MergeServerRecord(this->registry, record, kStart + Milliseconds(4000)));
+  CHECK(MergeServerRecord(this->registry, record, kStart + Milliseconds(4000)));
   CHECK_EQUAL(2, this->registry.change);
   // Also with the sequence number that is known, as control instances start
   // warm-ups by themselves.
-  CHECK(
-      MergeServerRecord(this->registry, record, kStart + Milliseconds(9000)));
+  CHECK(MergeServerRecord(this->registry, record, kStart + Milliseconds(9000)));
   CHECK_EQUAL(8000, RemainingWarmup(this->registry.servers.at("i-1"),
                                     kStart + Milliseconds(9000))
                         .count());
--- a/Tests/Warmup/WarmupBudgetTest.cc
+++ b/Tests/Warmup/WarmupBudgetTest.cc
@@ -117,8 +117,7 @@
 
 TEST(WarmupBudget, ALeaseIsForOneStartOfTheServer) {
   this->Lease(5, kStart, kStart);
-  CHECK_FALSE(
-      HasWarmupBudget(this->budget, kServer, kIncarnation + 1, kStart));
+  CHECK_FALSE(HasWarmupBudget(this->budget, kServer, kIncarnation + 1, kStart));
 }
 
 TEST(WarmupBudget, ServicesWithoutLimitHaveNone) {
--- a/Tests/Warmup/WarmupLeasesTest.cc
+++ b/Tests/Warmup/WarmupLeasesTest.cc
@@ -1,8 +1,8 @@
-#include "Warmup/WarmupLeases.h"
-
 #include <algorithm>
 #include <random>
 
+#include "Warmup/WarmupLeases.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace filbertwall;
@@ -46,10 +46,8 @@
 TEST(WarmupLeases, ALeaseIsHeldUntilItsFlowsHaveLeftTheWindow) {
   SetColdServers(this->leases, kService, {MakeCold("a", 2)});
   CHECK_EQUAL(2U, this->Grant({.instance = 1}, 5, kStart));
-  CHECK_EQUAL(0U,
-              this->Grant({.instance = 2}, 5, kStart + Milliseconds(2199)));
-  CHECK_EQUAL(2U,
-              this->Grant({.instance = 2}, 5, kStart + Milliseconds(2200)));
+  CHECK_EQUAL(0U, this->Grant({.instance = 2}, 5, kStart + Milliseconds(2199)));
+  CHECK_EQUAL(2U, this->Grant({.instance = 2}, 5, kStart + Milliseconds(2200)));
 }
 
 // Guards against a smaller renewal that frees at once what its holder may
@@ -176,7 +174,8 @@
           total += flows_per_second;
         }
         CHECK_TRUE(total <= 4);
-        std::erase_if(items, [&](const Held& item) { return item.until <= now; });
+        std::erase_if(items,
+                      [&](const Held& item) { return item.until <= now; });
       }
     }
   }
