Rules: Apply evacuate lines to requests and flows

FindCandidates leaves out the servers of evacuated data centres, so requests and flows of instances with peers do. explain names the lines and dump lists the data centres.

--- a/Source/Backends/Directory.cc
+++ b/Source/Backends/Directory.cc
@@ -13,6 +13,7 @@
                         const std::string& service) {
   return backend.announcement.service() == service &&
          backend.announcement.phase() == wire::READY &&
+         !rules.evacuations.contains(backend.data_centre) &&
          GetBackendWeight(rules, service, backend.address) > 0;
 }
 
--- a/Source/Backends/Directory.h
+++ b/Source/Backends/Directory.h
@@ -78,9 +78,10 @@
 bool IsUsable(const Directory& directory, const Backend& backend,
               const std::string& service, TimePoint now);
 
-/// Returns the usable servers of the service with a weight above 0. If there
-/// are none, returns the READY servers with a lapsed lease and a weight above
-/// 0, since an attempt there may still succeed.
+/// Returns the usable servers of the service with a weight above 0, except for
+/// those in data centres that the rules evacuate. If there are none, returns
+/// the READY servers with a lapsed lease and a weight above 0, with the same
+/// exception, since an attempt there may still succeed.
 std::vector<const Backend*> FindCandidates(const Directory& directory,
                                            const Rules& rules,
                                            const std::string& service,
--- a/Source/Node/NodeDump.cc
+++ b/Source/Node/NodeDump.cc
@@ -79,6 +79,9 @@
   const auto silent = node.flows.counters.find("silent");
   dump.set_silent_flows(silent == node.flows.counters.end() ? 0
                                                             : silent->second);
+  for (const auto& [name, rule] : node.rules.evacuations) {
+    dump.add_evacuated(name);
+  }
   DumpPeers(node, now, dump);
   DumpBackends(node, now, dump);
   DumpCounters(node.counters, "", dump);
--- a/Source/Rules/Explain.cc
+++ b/Source/Rules/Explain.cc
@@ -8,6 +8,17 @@
          origin.requester + "\n";
 }
 
+/// Returns a line for each data centre whose servers get nothing.
+std::string ExplainEvacuations(const Rules& rules) {
+  std::string text;
+  for (const auto& [name, rule] : rules.evacuations) {
+    text += "evacuate ";
+    text += name;
+    text += ": no server there, " + FormatOrigin(rule.origin);
+  }
+  return text;
+}
+
 Explanation ExplainFlow(const Rules& rules, const std::string& text) {
   const auto endpoint = ParseEndpoint(text);
   if (!endpoint) {
@@ -25,7 +36,8 @@
   return {.found = true,
           .text = "address " + text + " -> service " + service.name + regions +
                   ": " + FormatOrigin(address->second.origin) + "service " +
-                  service.name + ": " + FormatOrigin(service.origin)};
+                  service.name + ": " + FormatOrigin(service.origin) +
+                  ExplainEvacuations(rules)};
 }
 
 Explanation ExplainRequest(const Rules& rules, const std::string& host,
@@ -53,7 +65,7 @@
     text += "limit slots=" + std::to_string(limit->second.slots) + ": " +
             FormatOrigin(limit->second.origin);
   }
-  return {.found = true, .text = text};
+  return {.found = true, .text = text + ExplainEvacuations(rules)};
 }
 
 }  // namespace
--- a/Tests/Requests/RequestsTest.cc
+++ b/Tests/Requests/RequestsTest.cc
@@ -459,3 +459,26 @@
   CHECK_EQUAL(0, this->Answers());
   CHECK(this->tier.open.empty());
 }
+
+/// Guards against a request that reaches an evacuated data centre as all other
+/// servers are tried already or full, or by a lapsed lease.
+TEST(Requests, NoServerOfAnEvacuatedDataCentreIsACandidate) {
+  for (auto& [address, backend] : this->directory.backends) {
+    backend.data_centre = "here";
+  }
+  this->directory.backends.begin()->second.data_centre = "there";
+  const Endpoint remaining = this->directory.backends.begin()->first;
+  this->rules.evacuations["here"] = EvacuationRule{.data_centre = "here"};
+  const TimePoint lapsed = this->now + this->directory.lease * 2;
+  for (const TimePoint when : {this->now, lapsed}) {
+    const auto candidates =
+        FindCandidates(this->directory, this->rules, "shop", when);
+    LONGS_EQUAL(1, candidates.size());
+    CHECK(candidates.front()->address == remaining);
+  }
+  this->rules.evacuations["there"] = EvacuationRule{.data_centre = "there"};
+  const Choice choice =
+      ChooseBackend(this->directory, this->rules,
+                    ChoiceRequest{.service = "shop", .seed = 3}, this->now);
+  CHECK(choice.kind == Choice::Kind::kNone);
+}
