Shell: Handle evacuation commands only while their caller is connected

A command that lay in the socket of a suspended process or in a relay can be older than its opposite. Its caller has closed the connection then, which is seen within 10 ms after the call was read.

--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -1,3 +1,4 @@
+#include <deque>
 #include <filesystem>
 #include <map>
 #include <optional>
@@ -37,6 +38,17 @@
   return static_cast<std::uint64_t>(source()) << 32U | source();
 }
 
+/// A command that lay in a socket after its caller had left is recognized by
+/// the end of its connection, which is read within this time.
+constexpr Milliseconds kCallerCheckTime{10};
+
+/// A command that is handled at `due_at` if its caller is still connected.
+struct DelayedCall {
+  CallId id = 0;
+  TimePoint due_at;
+  wire::EvacuationChange change;
+};
+
 /// A call whose answer is still outstanding.
 struct PendingCall {
   HttpCall request;
@@ -83,6 +95,7 @@
   void Handle(const ControlInstanceEvent& event);
   void HandleCall(std::uint64_t id, const HttpRequest& request);
   void HandleTimer();
+  void HandleDelayedCalls();
   void HandleDiskFailure(const StoreFailure& failure);
   void ReloadSettings();
   void RearmTimer();
@@ -100,6 +113,7 @@
   std::unique_ptr<ControlStore> store;
   ControlInstance instance;
   std::map<CallId, PendingCall> calls;
+  std::deque<DelayedCall> delayed_calls;
   TimePoint next_settings_check_at;
   TimePoint next_disk_retry_at = TimePoint::max();
   TimePoint stop_at = TimePoint::max();
@@ -198,9 +212,12 @@
 }
 
 void ControlRuntime::RearmTimer() {
+  const TimePoint delayed_due = this->delayed_calls.empty()
+                                    ? TimePoint::max()
+                                    : this->delayed_calls.front().due_at;
   this->loop.WakeAt(
       std::min({NextDue(this->instance), this->next_settings_check_at,
-                this->next_disk_retry_at, this->stop_at}));
+                this->next_disk_retry_at, this->stop_at, delayed_due}));
 }
 
 void ControlRuntime::Handle(const ControlInstanceEvent& event) {
@@ -248,6 +265,7 @@
     this->next_settings_check_at = now + kSettingsCheckInterval;
     this->ReloadSettings();
   }
+  this->HandleDelayedCalls();
   this->Handle(ControlInstanceTick{});
 }
 
@@ -294,7 +312,21 @@
 }
 
 void ControlRuntime::StartCall(CallId id, const EvacuationCall& call) {
-  this->Handle(EvacuationOrdered{.call = id, .change = call.change});
+  this->delayed_calls.push_back({.id = id,
+                                 .due_at = FleetNow() + kCallerCheckTime,
+                                 .change = call.change});
+  this->RearmTimer();
+}
+
+void ControlRuntime::HandleDelayedCalls() {
+  while (!this->delayed_calls.empty() &&
+         FleetNow() >= this->delayed_calls.front().due_at) {
+    const DelayedCall call = std::move(this->delayed_calls.front());
+    this->delayed_calls.pop_front();
+    if (this->calls.contains(call.id)) {
+      this->Handle(EvacuationOrdered{.call = call.id, .change = call.change});
+    }
+  }
 }
 
 void ControlRuntime::StartCall(CallId id, const HealthCall&) {
