--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -148,6 +148,13 @@
              counters.kept_packets);
 }
 
+std::size_t CountEvacuated(const ControlInstance& instance) {
+  std::set<std::string> names = instance.evacuations.in_force;
+  names.insert(instance.evacuations.by_rules.begin(),
+               instance.evacuations.by_rules.end());
+  return names.size();
+}
+
 }  // namespace
 
 std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
@@ -205,6 +212,12 @@
     max_slowness = std::max(
         max_slowness, ExpectedSlowness(instance.forwarder.admission, i, now));
   }
+  AddGauge(samples, "evacuated_data_centres",
+           "Data centres whose servers get no new flow.",
+           static_cast<double>(instance.forwarder.placement.evacuated.size()));
+  AddGauge(samples, "evacuations_seq",
+           "Log entry of the newest known evacuation command.",
+           static_cast<double>(instance.evacuations.seq));
   AddGauge(samples, "expected_slowness",
            "Expected time to an answer by its objective, slowest service.",
            max_slowness);
@@ -267,6 +280,20 @@
              counters.reports_unconfirmed);
   AddCounter(samples, "submissions_total", "Rules files handed over here.",
              counters.submissions);
+  AddGauge(samples, "evacuated_data_centres",
+           "Data centres whose servers get no new flow.",
+           static_cast<double>(CountEvacuated(instance)));
+  AddGauge(samples, "evacuations_seq",
+           "Log entry of the newest known evacuation command.",
+           static_cast<double>(replica.committed.evacuation_seq()));
+  const std::string orders_help =
+      "Evacuation commands that were answered here, by answer.";
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_accepted, "accepted");
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_refused, "refused");
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_unavailable, "unavailable");
   AddCounter(samples, "reads_undecided_total",
              "Reads refused as an earlier leader's entry was not committed.",
              counters.reads_undecided);
--- a/Tests/Distribution/ReceivedRecordsTest.cc
+++ b/Tests/Distribution/ReceivedRecordsTest.cc
@@ -140,3 +140,52 @@
   LONGS_EQUAL(1, grant.leases_size());
   CHECK_EQUAL(3, this->set_aside.total);
 }
+
+/// Guards against names without bound, and against an update that confirms what
+/// its receiver knows while its evacuations can't be read.
+TEST(ReceivedRecords, EvacuationsAreBounded) {
+  wire::Update update;
+  update.set_fresh(true);
+  for (int i = 0; i < kMaxEvacuatedDataCentres; ++i) {
+    update.mutable_evacuations()->add_data_centres("dc" + std::to_string(i));
+  }
+  update.mutable_evacuations()->set_seq(5);
+  wire::Update too_many = update;
+  CHECK_EQUAL(0, ReadUpdate(update).total);
+  LONGS_EQUAL(kMaxEvacuatedDataCentres,
+              update.evacuations().data_centres_size());
+  CHECK(update.fresh());
+  too_many.mutable_evacuations()->add_data_centres("one more");
+  this->set_aside = ReadUpdate(too_many);
+  CHECK_EQUAL(1, this->set_aside.counts.Get(InputError::kTooLarge));
+  CHECK_FALSE(too_many.has_evacuations());
+  CHECK_FALSE(too_many.fresh());
+}
+
+/// Guards against a change number beyond which no other would be taken.
+TEST(ReceivedRecords, EvacuationsOfAnImpossibleEntryAreSetAside) {
+  wire::Update update;
+  update.set_fresh(true);
+  update.mutable_evacuations()->set_seq(
+      std::numeric_limits<std::uint64_t>::max());
+  this->set_aside = ReadUpdate(update);
+  CHECK_EQUAL(1, this->set_aside.counts.Get(InputError::kOutOfRange));
+  CHECK_FALSE(update.has_evacuations());
+  CHECK_FALSE(update.fresh());
+}
+
+/// Guards against names that no server's data centre can have, and against the
+/// loss of the others.
+TEST(ReceivedRecords, NamesThatAreNoTextLeaveTheOtherEvacuations) {
+  wire::Update update;
+  update.set_fresh(true);
+  for (const char* name : {"", "a\xff", "sofia"}) {
+    update.mutable_evacuations()->add_data_centres(name);
+    update.mutable_evacuations()->add_by_rules(name);
+  }
+  CHECK_EQUAL(4, ReadUpdate(update).total);
+  LONGS_EQUAL(1, update.evacuations().data_centres_size());
+  STRCMP_EQUAL("sofia", update.evacuations().data_centres(0).c_str());
+  STRCMP_EQUAL("sofia", update.evacuations().by_rules(0).c_str());
+  CHECK(update.fresh());
+}
