--- a/Bench/WarmupBench.cc
+++ b/Bench/WarmupBench.cc
@@ -88,7 +88,7 @@
   std::uint64_t bytes = 0;
   std::uint64_t leases = 0;
   std::uint32_t turn = 0;
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     now += interval;
     request.from = 100 + turn++ % entries;
     for (const auto& effect : Reduce(leader, request, now)) {
@@ -132,7 +132,7 @@
   } else if (limit_case != LimitCase::kNone) {
     SetWarmupLimits(placement.warmup, {limit, WarmupLimit{}});
   }
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     benchmark::DoNotOptimize(
         ChooseServer(placement, PlacementRequest{}, kStart));
   }
--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -2,6 +2,7 @@
 #include <array>
 #include <cstdio>
 #include <deque>
+#include <limits>
 #include <random>
 
 #include "FleetWorld.h"
@@ -593,6 +594,38 @@
   CHECK_EQUAL(0U, test.refused);
 }
 
+// Guards against grants that are damaged, or were meant for an earlier life of
+// the instance.
+TEST(Warmup, GrantsWithOddTimesOrOfAnEarlierLifeAreIgnored) {
+  WarmupRequester requester;
+  Placement placement;
+  const TimePoint now{std::chrono::hours(1)};
+  wire::ServerRecord record;
+  record.set_id("1");
+  record.set_incarnation(5);
+  UpdateServer(placement, record, now);
+  const std::int64_t now_us = 3'600'000'000;
+  const auto apply = [&](std::int64_t echoed_us, std::uint64_t incarnation) {
+    wire::WarmupGrant grant;
+    grant.set_incarnation(incarnation);
+    grant.set_echoed_us(echoed_us);
+    wire::WarmupLease& lease = *grant.add_leases();
+    lease.set_server("1");
+    lease.set_incarnation(5);
+    lease.set_flows_per_second(3);
+    grant.add_leases()->set_server("unknown");
+    HandleWarmupGrant(requester, placement, 7, grant, now);
+    return CountLeasedFlows(placement.warmup, now);
+  };
+  for (const std::int64_t odd : {std::numeric_limits<std::int64_t>::min(),
+                                 std::int64_t{-1}, std::int64_t{0}, now_us + 1,
+                                 std::numeric_limits<std::int64_t>::max()}) {
+    CHECK_EQUAL(0U, apply(odd, 7));
+  }
+  CHECK_EQUAL(0U, apply(now_us, 6));
+  CHECK_EQUAL(3U, apply(now_us, 7));
+}
+
 // Guards against combinations of the failures above.
 TEST(Warmup, RandomHistoriesKeepTheLimit) {
   for (std::uint32_t seed = 1; seed <= 6; ++seed) {
