--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -60,8 +60,9 @@
 /// had `remaining` left. Messages are under way for some time, so about as much
 /// is no new one.
 bool StartsAnew(Milliseconds next, Milliseconds remaining) {
-  constexpr Milliseconds kTolerance{1000};
-  return next - remaining > std::min(kTolerance, next / 2);
+  constexpr Milliseconds kMinTolerance{200};
+  constexpr Milliseconds kMaxTolerance{1000};
+  return next - remaining > std::clamp(next / 2, kMinTolerance, kMaxTolerance);
 }
 
 /// Returns whether `next` takes precedence over `server`.
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -262,6 +262,18 @@
                         .count());
 }
 
+// Guards against a change for each report at the end of a warm-up, when reports
+// take different times to arrive.
+TEST(Registry, AboutAsMuchWarmupTimeIsNoChange) {
+  wire::ServerRecord record = MakeRecord(5, 1);
+  record.set_warmup_ms(1000);
+  MergeServerRecord(this->registry, record, kStart);
+  record.set_sequence(2);
+  record.set_warmup_ms(150);
+  CHECK_FALSE(
+      MergeServerRecord(this->registry, record, kStart + Milliseconds(1000)));
+}
+
 // Guards against a record with another change that ends a warm-up which the
 // server does not know of.
 TEST(Registry, AMergeDoesNotShortenAWarmup) {
