Tests: The soak evacuates data centres

Commands go to random control instances, at times opposite ones to two at once. No flow may be opened at a server of a data centre later than 5 s after the acknowledgement and before a withdrawal was sent, through entry instances that were left alone. Servers are in three data centres now. Soak of mixed builds runs without, as older builds do not know the calls.

--- a/Tests/Soak/fleet_soak.py
+++ b/Tests/Soak/fleet_soak.py
@@ -6,7 +6,7 @@
 restarted by signals; links between instances are cut, one way or both, lose or
 delay messages; calls are reset or held back by a relay; disks are full or
 wiped; servers crash, leave and are replaced, also at the address of another
-service; another writer sends odd reports, configs, requests, packets and
+service; data centres are evacuated and return; another writer sends odd reports, configs, requests, packets and
 messages all the while. With `disks`, the faults of control instances are series
 of full disks, one after another, with restarts meanwhile. Ends with 1 and prints
 every broken promise, and keeps the logs, when
@@ -25,6 +25,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
                        "System"))
+import evacuations  # noqa: E402
 import fleet_processes  # noqa: E402
 import fleet_traffic  # noqa: E402
 import odd_writer  # noqa: E402
@@ -37,7 +38,8 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, controls, entries, only_disks):
+    def __init__(self, seed, seconds, controls, entries, only_disks,
+                 evacuates=True):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.fault_of_controls = (self.fill_disks_in_series if only_disks
@@ -54,6 +56,9 @@
         self.traffic = fleet_traffic.Traffic(self.fleet, network + ".4.1",
                                              seed)
         self.operator = fleet_traffic.Operator(self.traffic, seed)
+        self.evacuates = evacuates
+        self.evacuations = evacuations.Evacuations(self.traffic, seed)
+        self.traffic.opening_checks.append(self.evacuations.check_opening)
         self.odd_writer = odd_writer.OddWriter(self.fleet, network + ".4.2",
                                                seed)
         self.next_server = seed % 1000 * 65536 + 1
@@ -66,7 +71,9 @@
         number = self.next_server
         self.next_server += 1
         host = "%s.3.%d" % (self.fleet.network, host_number)
-        return fleet_traffic.Server(self.traffic, number, host, 9000, service)
+        zone = evacuations.ZONES[host_number // 2 % len(evacuations.ZONES)]
+        return fleet_traffic.Server(self.traffic, number, host, 9000, service,
+                                    zone)
 
     def note(self, what):
         self.events.append("%.2f: %s" % (time.monotonic(), what))
@@ -261,6 +268,8 @@
         time.sleep(START_S)
         self.traffic.opening = True
         self.odd_writer.start()
+        if self.evacuates:
+            self.evacuations.start()
 
     def run(self):
         self.start()
@@ -288,6 +297,7 @@
         self.odd_writer.join(10)
         self.operator.running = False
         self.operator.join(10)
+        self.end_evacuations()
         time.sleep(1.0)
         newest = self.operator.newest_before(time.monotonic())
         before = self.traffic.answered
@@ -307,10 +317,22 @@
         if self.traffic.answered == before:
             self.traffic.violate("at the end nothing is answered")
 
+    def end_evacuations(self):
+        """Withdraws them all and waits until that has to be in force."""
+        if not self.evacuates:
+            return
+        self.evacuations.running = False
+        self.evacuations.join(10)
+        self.evacuations.running = True
+        self.evacuations.withdraw_all()
+        time.sleep(evacuations.IN_FORCE_S)
+        self.evacuations.check_withdrawn()
+
     def finish(self):
         self.odd_writer.running = False
         self.traffic.running = False
         self.operator.running = False
+        self.evacuations.running = False
         self.traffic.join(2)
         self.fleet.stop()
         self.relay.close()
@@ -332,6 +354,8 @@
               seed, traffic.answered, traffic.unopened, traffic.refused,
               traffic.lost, len(soak.operator.acked), len(traffic.violations)))
     print("odd input:", soak.odd_writer.sent)
+    print("evacuation commands: %d accepted, evacuated data centres looked at "
+          "%d times" % (soak.evacuations.accepted, soak.evacuations.checked))
     if not traffic.violations:
         shutil.rmtree(soak.folder)
         return 0
--- a/Tests/Soak/fleet_traffic.py
+++ b/Tests/Soak/fleet_traffic.py
@@ -52,8 +52,9 @@
 
 
 class Server:
-    def __init__(self, traffic, number, host, port, service):
+    def __init__(self, traffic, number, host, port, service, zone="dc0"):
         self.traffic = traffic
+        self.zone = zone
         self.id = "i-%08x" % number
         self.number = number
         self.host, self.port, self.service = host, port, service
@@ -83,7 +84,7 @@
         state = self.state
         body = {"Service": self.service, "ConcurrencyLimit": 4,
                 "Address": "%s:%d" % (self.host, self.port),
-                "Zone": "dc0", "Version": "v1", "State": state,
+                "Zone": self.zone, "Version": "v1", "State": state,
                 "WarmupRemainingMs": 0, "Sequence": self.sequence,
                 "born": self.born}
         host = self.endpoint or random.choice(self.traffic.fleet.controls).host
@@ -118,6 +119,9 @@
         traffic = self.traffic
         if flags & SYN:
             self.check_opening(address, sender[0])
+            if key not in self.flows:  # Copies may follow the accepted one.
+                for check in traffic.opening_checks:
+                    check(self, sender[0])
             self.flows[key] = True
             self.answer(head, SYN | ACK, b"")
             return
@@ -255,6 +259,7 @@
         self.answered = self.runs = self.unopened = self.refused = 0
         self.lost = 0
         self.crashed = {}  # id of a server -> when
+        self.opening_checks = []  # called with the server and the sender's host
         self.next_port, self.next_timer = 1024, 0
         self.running, self.opening = True, True
         self.pool = concurrent.futures.ThreadPoolExecutor(12)
--- a/Tests/System/builds_test.py
+++ b/Tests/System/builds_test.py
@@ -157,7 +157,8 @@
 
 def mixed_fleet():
     """The soak, with a build that changes at each start of a process, so that
-    saved rules, votes and registries are read by the other build."""
+    saved rules, votes and registries are read by the other build. Without
+    evacuations, which builds before 0.10 do not know."""
     original = fleet_processes.Process.start
     starts = {"old": 0, "new": 0}
 
@@ -170,7 +171,8 @@
 
     fleet_processes.Process.start = start_alternating
     try:
-        soak = fleet_soak.Soak(SOAK_SEED, SOAK_S, 4, 4, only_disks=False)
+        soak = fleet_soak.Soak(SOAK_SEED, SOAK_S, 4, 4, only_disks=False,
+                               evacuates=False)
         try:
             soak.run()
         finally:
