Forwarding: Remove hedged openings

Two servers may accept one flow, and from the packets an instance can't tell which of them opened it: lost or overtaken packets and a changed set of instances sent open flows to the other server (design 0014, figures there). No setting could turn it on, so the code was never reached. What was weighed and measured stays in the design note; hedged HTTP requests stay.

--- a/Bench/HedgingEmulator.h
+++ b/Bench/HedgingEmulator.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <cstdint>
-#include <vector>
 
-/// Discrete-event simulations of hedged requests and hedged openings, for
-/// benchmarks and tests. Both use the production code of an instance.
+/// Discrete-event simulation of hedged requests, for benchmarks and tests. It
+/// uses the production code of an instance.
 namespace filbertwall {
 
 struct HedgedRequestsScenario {
@@ -39,61 +38,4 @@
 HedgedRequestsOutcome SimulateHedgedRequests(
     const HedgedRequestsScenario& scenario);
 
-/// A server that accepts no openings for a while.
-struct SilentServer {
-  std::uint32_t server = 0;
-  double from_ms = 0;
-  double until_ms = 0;
-  /// It reads the packets of this time afterwards; otherwise they are lost.
-  bool reads_later = false;
-};
-
-struct HedgedOpeningsScenario {
-  std::uint64_t seed = 1;
-  std::uint32_t instances = 1;
-  std::uint32_t servers = 24;
-  std::uint32_t data_centres = 3;
-  double flows_per_s = 600;  ///< Through all instances.
-  double duration_ms = 20000;
-  double work_ms = 30;
-  double one_way_ms = 1;  ///< Mean one-way delay of a packet.
-  /// Packets take up to this share more or less time, each by itself, and so
-  /// may overtake each other.
-  double jitter = 0;
-  /// Share of the packets that take `slow_path_ms`.
-  double slow_path_share = 0;
-  double slow_path_ms = 60;
-  double loss = 0;  ///< Share of the packets that are lost.
-  /// Times at which the callers are spread anew over the instances.
-  std::vector<double> respread_at_ms;
-  std::vector<SilentServer> silent;
-  double hedge_openings = 0;
-};
-
-struct HedgedOpeningsOutcome {
-  double p50_ms = 0;  ///< To the acceptance of all opened flows.
-  double p99_ms = 0;
-  double p999_ms = 0;
-  std::uint32_t flows = 0;
-  std::uint32_t opened = 0;
-  std::uint32_t opened_late = 0;  ///< After the caller's first copy.
-  std::uint64_t placed_again = 0;
-  std::uint64_t hedges = 0;
-  std::uint64_t hedges_won = 0;
-  std::uint32_t accepted_twice = 0;  ///< Flows that two servers accepted.
-  /// Packets of open flows that reached a server that had not opened it.
-  std::uint32_t diverted = 0;
-  std::uint32_t diverted_after_hedge = 0;  ///< Part of it, of hedged flows.
-  std::uint64_t kept_packets = 0;
-};
-
-/// Entry instances place flows whose opening packets servers may leave
-/// unanswered (`Forwarding/Forwarder`). Callers send the opening packet again
-/// after 200 and 600 ms and give up after 1.4 s. A caller answers an acceptance
-/// at once with a packet that holds its request, repeats that after 200 ms, and
-/// repeats the token that it received last. It answers a second acceptance with
-/// a packet that acknowledges the first one.
-HedgedOpeningsOutcome SimulateHedgedOpenings(
-    const HedgedOpeningsScenario& scenario);
-
 }  // namespace filbertwall
--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -54,8 +54,6 @@
   kClassRefused = 6010,
   kCapacityChanged = 6011,
   kCallersLimited = 6012,
-  kHedgeSent = 6013,
-  kServerKept = 6014,
   kHedgesOverBudget = 6015,
   kUnknownRegion = 6016,
 };
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -504,7 +504,6 @@
                                          .seed = config.incarnation,
                                          .regions = config.regions};
   ConfigureAdmission(instance.forwarder, config);
-  instance.forwarder.hedged.budget.share = config.hedge_openings;
   return instance;
 }
 
@@ -522,8 +521,7 @@
       std::min({instance.next_poll_at, instance.next_housekeeping_at,
                 instance.forwarder.held.release_at,
                 instance.forwarder.late.next_check_at,
-                instance.forwarder.placement.warmup.next_request_at,
-                NextHedgeDue(instance.forwarder.hedged)});
+                instance.forwarder.placement.warmup.next_request_at});
   if (instance.stopping) {
     due = std::min(due, instance.stop_at);
   }
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -36,9 +36,6 @@
   std::map<std::string, std::string> regions;  ///< By data centre.
   /// Whether callers that ask for the most are refused first.
   bool fair_callers = false;
-  /// Share of openings that may be hedged; 0: none. Not safe above 0, so that
-  /// no settings file sets it; see docs/design/0014-hedging.md.
-  double hedge_openings = 0;
   std::uint64_t incarnation = 0;  ///< Differs at each start.
 };
 
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -133,21 +133,6 @@
   }
 }
 
-void AddHedgeMetrics(Samples& samples, const HedgeCounters& counters) {
-  const std::string help =
-      "Openings sent to a second server, or not, by what became of them.";
-  const std::string name = "hedged_openings_total";
-  AddCounter(samples, name, help, counters.sent, "sent");
-  AddCounter(samples, name, help, counters.won, "won");
-  AddCounter(samples, name, help, counters.lost, "lost");
-  AddCounter(samples, name, help, counters.over_budget, "over_budget");
-  AddCounter(samples, name, help, counters.withheld, "withheld");
-  AddCounter(samples, "kept_packets_total",
-             "Packets with another server's token, forwarded to the server "
-             "that had opened their flow.",
-             counters.kept_packets);
-}
-
 std::size_t CountEvacuated(const ControlInstance& instance) {
   std::set<std::string> names = instance.evacuations.in_force;
   names.insert(instance.evacuations.by_rules.begin(),
@@ -196,7 +181,6 @@
              instance.forwarder.late.released, "released");
   AddCounter(samples, "late_openings_total", late_help,
              instance.forwarder.late.lapsed, "lapsed");
-  AddHedgeMetrics(samples, instance.forwarder.hedged.counters);
   AddCounter(samples, "packet_send_failures_total",
              "Packets that the socket did not take.", process.send_failures);
   AddCounter(samples, "flows_expired_total",
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -129,36 +129,6 @@
                 MakeAdmissionRequest(packet, route, service), now);
 }
 
-/// Keeps the record of repeated openings: `unanswered_server` is the server
-/// that did not accept the flow's previous opening packet.
-void RecordOpenings(Forwarder& forwarder, const FlowKey& key,
-                    std::optional<ServerIndex> unanswered_server,
-                    ServerIndex server, TimePoint expires_at, TimePoint now) {
-  HedgedOpenings& hedged = forwarder.hedged;
-  if (!HedgesOpenings(hedged)) {
-    return;
-  }
-  DiscardStoredOpening(hedged, key);
-  if (unanswered_server) {
-    RecordRepeatedOpening(hedged, key, *unanswered_server, server, expires_at,
-                          now);
-  } else {
-    ForgetRepeatedOpening(hedged, key);
-  }
-}
-
-/// Counts a flow for the server that has opened it, if that is not the last one
-/// that got its opening packet.
-void MoveFlow(Forwarder& forwarder, OpenFlow& flow, ServerIndex server,
-              TimePoint now) {
-  if (flow.server == server || flow.answered) {
-    return;
-  }
-  RecordFlowEnd(forwarder.placement, flow.server, false, std::nullopt, now);
-  RecordOpening(forwarder.placement.servers[server], now);
-  flow.server = server;
-}
-
 /// Removes a flow from the in-flight count if it is still included.
 void RemoveFromAdmission(Forwarder& forwarder, const OpenFlow& flow) {
   if (flow.answered && !flow.overdue) {
@@ -235,8 +205,6 @@
     return RefuseWithoutServer(forwarder, flow);
   }
   TrackFlow(forwarder, packet, *server, route->second, late, now);
-  RecordOpenings(forwarder, packet.key, unanswered_server, *server,
-                 now + route->second.timeout + kExpiryMargin, now);
   forwarder.counters.placed += 1;
   forwarder.counters.placed_again += unanswered_server ? 1 : 0;
   return Decision{.verdict = Verdict::kForward,
@@ -290,11 +258,6 @@
     forwarder.first_answer.Add(
         std::chrono::duration_cast<Microseconds>(now - flow.opened_at));
     RecordAnswered(forwarder.placement, flow.server, now);
-    if (HedgesOpenings(forwarder.hedged)) {
-      DiscardStoredOpening(forwarder.hedged, packet.key);
-      RecordFirstAnswer(forwarder.hedged, forwarder.placement, flow.server,
-                        flow.opened_at, now);
-    }
     AddFlowInFlight(forwarder.admission, flow.service);
   }
   UpdateAckNumber(flow, packet.ack_number);
@@ -319,42 +282,6 @@
   }
 }
 
-/// Returns the server of a packet after the opening one, and counts the flow
-/// for it; `by_token` is the server of its token.
-std::optional<ServerIndex> ServerOfPacket(Forwarder& forwarder,
-                                          const FlowPacket& packet,
-                                          std::optional<ServerIndex> by_token,
-                                          TimePoint now) {
-  if (forwarder.hedged.repeated.empty()) {
-    return by_token;
-  }
-  const auto server = ServerOfAnswer(forwarder.hedged, packet, by_token);
-  const auto flow = forwarder.flows.find(packet.key);
-  const auto opened_by = OpenedBy(forwarder.hedged, packet.key);
-  if (opened_by && flow != forwarder.flows.end()) {
-    MoveFlow(forwarder, flow->second, *opened_by, now);
-  }
-  return server;
-}
-
-/// Whether the requests of the flow's route may be repeated.
-bool IsRepeatable(const Forwarder& forwarder, const FlowKey& key) {
-  const auto route = forwarder.routes.routes.find(KeyOf(key.address));
-  return route != forwarder.routes.routes.end() &&
-         !route->second.shares.empty() &&
-         route->second.kind != wire::REQUEST_UNSAFE;
-}
-
-/// Whether the service has no capacity for hedges: its flows wait in queues, or
-/// late openings wait for capacity.
-bool IsBusy(const Forwarder& forwarder, ServiceIndex service, TimePoint now) {
-  // The share of the objective up to which admission refuses nothing.
-  constexpr double kMaxSlowness = 0.4;
-  const bool known = service < forwarder.late.services.size();
-  return (known && !forwarder.late.services[service].queue.empty()) ||
-         ExpectedSlowness(forwarder.admission, service, now) > kMaxSlowness;
-}
-
 }  // namespace
 
 Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
@@ -370,8 +297,6 @@
   }
   DiscardOpening(forwarder.held, packet.key);
   DiscardLateOpening(forwarder.late, packet.key);
-  const auto by_token = FindByToken(forwarder.placement, packet.token);
-  const auto server = ServerOfPacket(forwarder, packet, by_token, now);
   TrackPacket(forwarder, packet, now);
   if (forwarder.routes.dropped.contains(KeyOf(packet.key.address))) {
     forwarder.counters.no_route += 1;
@@ -380,80 +305,17 @@
     return packet.aborts ? Drop(ForwardReason::kRouteDropped)
                          : Reset(ForwardReason::kRouteDropped);
   }
+  const auto server = FindByToken(forwarder.placement, packet.token);
   if (!server || forwarder.placement.servers[*server].address.ip == 0) {
     forwarder.counters.unknown_token += 1;
     return Drop(ForwardReason::kUnknownToken);
   }
   forwarder.counters.forwarded += 1;
   return Decision{.verdict = Verdict::kForward,
-                  .reason = server == by_token ? ForwardReason::kToken
-                                               : ForwardReason::kKeptServer,
+                  .reason = ForwardReason::kToken,
                   .server = *server};
 }
 
-void StoreForHedge(Forwarder& forwarder, const FlowPacket& packet,
-                   const Decision& decision,
-                   std::span<const std::uint8_t> bytes, TimePoint now) {
-  const bool placed = decision.reason == ForwardReason::kPlaced ||
-                      decision.reason == ForwardReason::kPlacedAgain;
-  if (!placed || !HedgesOpenings(forwarder.hedged)) {
-    return;
-  }
-  EarnExtraWork(forwarder.hedged.budget);
-  const auto flow = forwarder.flows.find(packet.key);
-  if (flow != forwarder.flows.end() && !flow->second.late &&
-      IsRepeatable(forwarder, packet.key)) {
-    StoreOpening(forwarder.hedged, forwarder.placement, packet, decision.server,
-                 bytes, now);
-  }
-}
-
-std::optional<HeldOpening> TakeHedge(Forwarder& forwarder, TimePoint now) {
-  HedgedOpenings& hedged = forwarder.hedged;
-  while (auto opening = TakeDueOpening(hedged, now)) {
-    const FlowKey& key = opening->opening.key;
-    const auto flow = forwarder.flows.find(key);
-    if (flow == forwarder.flows.end() || flow->second.answered ||
-        flow->second.server != opening->server) {
-      continue;
-    }
-    const SilenceSign sign =
-        JudgeSilence(hedged, forwarder.placement, *opening, now);
-    if (sign == SilenceSign::kDataCentre) {
-      RecordSilentDataCentre(
-          forwarder.placement,
-          forwarder.placement.servers[opening->server].data_centre, now);
-    }
-    if (sign == SilenceSign::kNone) {
-      PutOffHedge(hedged, std::move(*opening), now);
-    } else if (!IsRepeatable(forwarder, key) ||
-               IsBusy(forwarder, flow->second.service, now) ||
-               !HasRoomForRecord(hedged, now) ||
-               !HalfAreHealthy(hedged, forwarder.placement,
-                               flow->second.service, now)) {
-      hedged.counters.withheld += 1;
-    } else if (!AllowsExtraWork(hedged.budget)) {
-      hedged.counters.over_budget += 1;
-    } else {
-      SpendExtraWork(hedged.budget);
-      return std::move(opening->opening);
-    }
-  }
-  return std::nullopt;
-}
-
-Decision DecideHedge(Forwarder& forwarder, FlowPacket packet, TimePoint now) {
-  // The rules for a copy by the caller apply.
-  packet.copies = std::max(packet.copies, 1U);
-  const Decision decision = DecidePacket(forwarder, packet, now);
-  if (decision.reason != ForwardReason::kPlacedAgain) {
-    return Drop(decision.reason);
-  }
-  forwarder.hedged.counters.sent += 1;
-  MarkHedge(forwarder.hedged, packet.key);
-  return decision;
-}
-
 void HoldPacket(Forwarder& forwarder, const FlowPacket& packet,
                 const Decision& decision, std::span<const std::uint8_t> bytes,
                 TimePoint now) {
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -13,7 +13,6 @@
 #include "Base/Time.h"
 #include "Forwarding/FlowOutcomes.h"
 #include "Forwarding/FlowPacket.h"
-#include "Forwarding/HedgedOpenings.h"
 #include "Forwarding/HeldOpenings.h"
 #include "Forwarding/LateOpenings.h"
 #include "Forwarding/RouteTable.h"
@@ -37,15 +36,13 @@
 
 /// Why a packet was forwarded, dropped or reset.
 enum class ForwardReason {
-  kToken,         ///< Forwarded by its token.
-  kKeptServer,    ///< Forwarded to the server that opened the flow, although
-                  ///< the token is that of another one that was asked.
-  kPlaced,        ///< A new flow was placed.
-  kPlacedAgain,   ///< Placed again: the first server did not answer.
-  kNoRoute,       ///< No route for the address.
-  kRouteDropped,  ///< The route of the address was removed.
-  kUnknownToken,  ///< No known server has this token.
-  kNoServer,      ///< The service has no usable server.
+  kToken,             ///< Forwarded by its token.
+  kPlaced,            ///< A new flow was placed.
+  kPlacedAgain,       ///< Placed again: the first server did not answer.
+  kNoRoute,           ///< No route for the address.
+  kRouteDropped,      ///< The route of the address was removed.
+  kUnknownToken,      ///< No known server has this token.
+  kNoServer,          ///< The service has no usable server.
   kNoServerInRegion,  ///< Nor has it one in the regions of the route.
   kOverload,          ///< The answer would miss the latency objective.
   kLate,              ///< The answer will be late anyway; see `LateOpenings.h`.
@@ -108,7 +105,6 @@
   TimePoint discard_openings_until;
   HeldOpenings held;                ///< Stored until this instance serves.
   LateOpenings late;                ///< Stored until a service has capacity.
-  HedgedOpenings hedged;            ///< Stored until a server accepts.
   std::size_t flow_limit = 100000;  ///< Flows beyond it are not tracked.
   std::unordered_map<FlowKey, OpenFlow, FlowKeyHash> flows;
   /// One entry for each of `flows`, by its next `fails_at` or `expires_at`.
@@ -132,20 +128,6 @@
                 const Decision& decision, std::span<const std::uint8_t> bytes,
                 TimePoint now);
 
-/// Stores the opening packet of a decision with the verdict kForward, if a
-/// hedge may be sent for it later.
-void StoreForHedge(Forwarder& forwarder, const FlowPacket& packet,
-                   const Decision& decision,
-                   std::span<const std::uint8_t> bytes, TimePoint now);
-
-/// Removes and returns a stored opening packet for which a hedge is to be sent
-/// now; empty when there is none. The caller must pass it to `DecideHedge`.
-std::optional<HeldOpening> TakeHedge(Forwarder& forwarder, TimePoint now);
-
-/// Decides where the hedge of an opening packet goes. Nothing must be sent
-/// unless the verdict is kForward.
-Decision DecideHedge(Forwarder& forwarder, FlowPacket packet, TimePoint now);
-
 /// Whether the answer to a stored opening packet can still meet the latency
 /// objective of its route.
 bool MayBeInTime(const Forwarder& forwarder, const HeldOpening& opening,
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -435,11 +435,6 @@
   }
 }
 
-void RecordSilentDataCentre(Placement& placement, std::uint32_t data_centre,
-                            TimePoint now) {
-  placement.data_centres[data_centre].avoid_until = now + kDataCentreAvoidance;
-}
-
 void RecordFlowEnd(Placement& placement, ServerIndex index, bool answered,
                    std::optional<Milliseconds> duration, TimePoint now) {
   PlacedServer& server = placement.servers[index];
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -175,9 +175,6 @@
 /// Records that the server did not answer an opening packet, as shown by its
 /// retransmission by the caller.
 void RecordUnanswered(Placement& placement, ServerIndex index, TimePoint now);
-/// Records that the servers of a data centre accept no openings.
-void RecordSilentDataCentre(Placement& placement, std::uint32_t data_centre,
-                            TimePoint now);
 /// Records the end of a flow. `answered` tells whether the server had accepted
 /// it; `duration` is empty when the flow was aborted or expired.
 void RecordFlowEnd(Placement& placement, ServerIndex index, bool answered,
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -278,20 +278,6 @@
   };
 }
 
-/// Accepts only the share 0. A hedged opening may divert an open flow to a
-/// server that has not opened it, see docs/design/0014-hedging.md.
-Setter NoShareSetter() {
-  return [](Parser& parser, const std::string& value) {
-    double share = 0;
-    ShareSetter(share)(parser, value);
-    if (share > 0) {
-      Report(parser, value,
-             "0, as a second opening packet may divert an open flow to another "
-             "server");
-    }
-  };
-}
-
 using Setters = std::map<std::string, Setter>;
 
 Setters FleetSetters(FleetSettings& fleet) {
@@ -301,7 +287,6 @@
           {"announce_interval", DurationSetter(fleet.announce_interval)},
           {"metrics_port", PortSetter(fleet.metrics_port)},
           {"refuse_overload", BooleanSetter(fleet.refuse_overload)},
-          {"hedge_openings", NoShareSetter()},
           {"fair_callers", BooleanSetter(fleet.fair_callers)},
           {"peer_port", PortSetter(fleet.peer_port)},
           {"regions", RegionsSetter(fleet.regions)}};
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -25,8 +25,6 @@
   switch (reason) {
     case ForwardReason::kToken:
       return "token";
-    case ForwardReason::kKeptServer:
-      return "kept-server";
     case ForwardReason::kPlaced:
       return "placed";
     case ForwardReason::kPlacedAgain:
@@ -87,13 +85,9 @@
   void ProcessDueOpenings();
   void ProcessLateOpenings(TimePoint now);
   void ReleaseOpening(HeldOpening& opening, TimePoint now);
-  void Forward(const Decision& decision, std::span<std::uint8_t> bytes);
-  /// Sends the hedges that are due.
-  void ProcessHedges(TimePoint now);
   std::string FormatLoad(const FlowPacket& packet) const;
   void UpdateAdmissionRound(TimePoint now);
-  void LogDecision(const FlowPacket& packet, const Decision& decision,
-                   EventId placed = EventId::kFlowPlaced);
+  void LogDecision(const FlowPacket& packet, const Decision& decision);
   void ReloadSettings();
   std::string FormatCurrentMetrics() const;
 
@@ -202,7 +196,6 @@
   }
   this->packets.Flush();
   this->ProcessLateOpenings(now);
-  this->ProcessHedges(now);
   this->loop.WakeAt(NextDue(this->instance));
   this->batch_time.Add(
       std::chrono::duration_cast<Microseconds>(FleetNow() - now));
@@ -262,8 +255,12 @@
   }
   switch (decision.verdict) {
     case Verdict::kForward: {
-      StoreForHedge(this->instance.forwarder, packet, decision, bytes, now);
-      this->Forward(decision, bytes);
+      const PlacedServer& server =
+          this->instance.forwarder.placement.servers[decision.server];
+      codec.write_token(bytes, server.token);
+      std::array<std::uint8_t, DatagramPort::kMaxPrefixBytes> head{};
+      const std::size_t length = codec.write_header(server.number, head);
+      this->packets.Send(server.address, std::span(head.data(), length), bytes);
       return;
     }
     case Verdict::kReset: {
@@ -282,51 +279,6 @@
   }
 }
 
-void EntryRuntime::Forward(const Decision& decision,
-                           std::span<std::uint8_t> bytes) {
-  const PlacedServer& server =
-      this->instance.forwarder.placement.servers[decision.server];
-  this->adapter.packets.write_token(bytes, server.token);
-  std::array<std::uint8_t, DatagramPort::kMaxPrefixBytes> head{};
-  const std::size_t length =
-      this->adapter.packets.write_header(server.number, head);
-  this->packets.Send(server.address, std::span(head.data(), length), bytes);
-}
-
-void EntryRuntime::ProcessHedges(TimePoint now) {
-  constexpr std::size_t kMaxBatch = 64;
-  Forwarder& forwarder = this->instance.forwarder;
-  if (now < NextHedgeDue(forwarder.hedged)) {
-    return;
-  }
-  const std::uint64_t over_budget = forwarder.hedged.counters.over_budget;
-  std::vector<HeldOpening> due;
-  due.reserve(kMaxBatch);  // The bytes of each are sent with the flush.
-  while (due.size() < kMaxBatch) {
-    auto opening = TakeHedge(forwarder, now);
-    if (!opening) {
-      break;
-    }
-    HeldOpening& hedge = due.emplace_back(std::move(*opening));
-    FlowPacket packet;
-    if (!this->adapter.packets.parse(hedge.bytes, packet)) {
-      continue;
-    }
-    RestoreTimes(packet, hedge, now);
-    const Decision decision = DecideHedge(forwarder, packet, now);
-    if (decision.verdict == Verdict::kForward) {
-      this->LogDecision(packet, decision, EventId::kHedgeSent);
-      this->Forward(decision, hedge.bytes);
-    }
-  }
-  this->packets.Flush();
-  if (forwarder.hedged.counters.over_budget > over_budget) {
-    WriteLog({.id = EventId::kHedgesOverBudget,
-              .text = "hedged openings over budget, since the start: " +
-                      std::to_string(forwarder.hedged.counters.over_budget)});
-  }
-}
-
 void EntryRuntime::ProcessDueOpenings() {
   const TimePoint now = FleetNow();
   std::vector<HeldOpening> due =
@@ -340,7 +292,6 @@
     this->packets.Flush();
   }
   this->ProcessLateOpenings(now);
-  this->ProcessHedges(now);
 }
 
 void EntryRuntime::ProcessLateOpenings(TimePoint now) {
@@ -392,14 +343,12 @@
 }
 
 void EntryRuntime::LogDecision(const FlowPacket& packet,
-                               const Decision& decision, EventId placed) {
+                               const Decision& decision) {
   const bool forwarded = decision.verdict == Verdict::kForward;
   const EventId refused = decision.verdict == Verdict::kReset
                               ? EventId::kFlowRefused
                               : EventId::kPacketDropped;
-  const bool kept = decision.reason == ForwardReason::kKeptServer;
-  const EventId id =
-      forwarded ? (kept ? EventId::kServerKept : placed) : refused;
+  const EventId id = forwarded ? EventId::kFlowPlaced : refused;
   if (!AcceptsLog(id)) {
     return;
   }
--- a/Tests/Settings/SettingsTest.cc
+++ b/Tests/Settings/SettingsTest.cc
@@ -57,21 +57,6 @@
   }
 }
 
-/// Hedged openings may divert open flows, so no file may turn them on.
-TEST(Settings, HedgedOpeningsCantBeTurnedOn) {
-  const auto parse = [](const std::string& value) {
-    return Parse(MakeText("data_centre = dc") +
-                 "[fleet]\nhedge_openings = " + value + "\n");
-  };
-  LONGS_EQUAL(0, parse("0").findings.size());
-  LONGS_EQUAL(0, parse("0.0").findings.size());
-  for (const std::string value : {"0.001", "0.5", "1", "x"}) {
-    const ParsedSettings parsed = parse(value);
-    LONGS_EQUAL(1, parsed.findings.size());
-    CHECK(parsed.usable);
-  }
-}
-
 TEST(Settings, LongPathsAreReadInFull) {
   const std::string path = "/" + std::string(4000, 'p');
   const ParsedSettings parsed =
