--- a/Bench/OverloadEmulator.cc
+++ b/Bench/OverloadEmulator.cc
@@ -150,7 +150,9 @@
                         this->scenario.cold_servers * (1 - 1 / kColdFactor) -
                         this->Evacuate(cold_end);
     for (EmulatedInstance& instance : this->instances) {
-      this->TellCapacity(instance, left);
+      this->TellCapacity(instance, this->policy.capacity_falls
+                                       ? left
+                                       : this->scenario.servers);
     }
     this->surge_capacity_per_ms =
         left * this->scenario.slots / this->scenario.work_ms;
--- a/Bench/OverloadEmulator.h
+++ b/Bench/OverloadEmulator.h
@@ -16,8 +16,9 @@
   /// Tell admission control the kinds' priorities; otherwise all are 0.
   bool priorities = false;
   bool fair_callers = false;  ///< Max-min fairness among callers.
-  /// Tell admission control at once how many slots are left.
+  /// Tell admission control how many slots there are.
   bool capacity = false;
+  bool capacity_falls = true;  ///< Tell it at once how many slots are left.
 };
 
 /// A kind of request in a scenario. Its load is the share of the slots of all
--- a/Bench/SharesBench.cc
+++ b/Bench/SharesBench.cc
@@ -6,7 +6,8 @@
 
 /// Measures who gets the capacity of an overloaded service: each kind of
 /// request in turn, then all together, ask for a multiple of their usual load
-/// while a third of the servers is evacuated. Prints tab-separated lines.
+/// while a third of the servers is evacuated. Then a loss of servers without
+/// bursts, and callers of different demand. Prints tab-separated lines.
 ///
 /// Usage: shares_bench
 namespace filbertwall {
@@ -55,22 +56,56 @@
   }
 }
 
-void PrintCallers(const NamedPolicy& policy, std::uint32_t instances) {
+/// Prints results of one kind, whose callers differ in demand.
+void PrintCallers(const NamedPolicy& policy, std::uint32_t instances,
+                  std::uint32_t heavy_callers) {
   OverloadScenario scenario = MakeScenario(instances);
-  scenario.heavy_callers = 4;
+  scenario.heavy_callers = heavy_callers;
   scenario.heavy_share = 0.6;
-  for (OverloadKind& kind : scenario.kinds) {
-    kind.burst = 7;
-  }
+  scenario.kinds = {scenario.kinds[2]};
+  scenario.kinds[0].usual_load = 0.2;
+  scenario.kinds[0].burst = 7;
   const OverloadOutcome outcome = SimulateOverload(scenario, policy.policy);
   const CallerOutcome& light = outcome.light_callers;
   const CallerOutcome& heavy = outcome.heavy_callers;
-  std::printf("%s\t%u\tcallers\t%u\t%.3f\t%u\t%.3f\n", policy.name.c_str(),
-              scenario.instances, light.asked,
+  std::printf("%s\t%u\t%u\t%u\t%.3f\t%u\t%.3f\n", policy.name.c_str(),
+              scenario.instances, heavy_callers, light.asked,
               static_cast<double>(light.in_time) / light.asked, heavy.asked,
               static_cast<double>(heavy.in_time) / heavy.asked);
 }
 
+/// Prints results of the first second after a loss of servers, without bursts,
+/// summed over seeds.
+void PrintLoss(const NamedPolicy& policy, std::uint32_t instances,
+               std::uint32_t evacuated) {
+  constexpr std::uint64_t kSeeds = 5;
+  OverloadScenario scenario = MakeScenario(instances);
+  scenario.surge_s = 1;
+  scenario.evacuated_servers = evacuated;
+  for (OverloadKind& kind : scenario.kinds) {
+    kind.usual_load *= 3.25;
+  }
+  std::vector<KindOutcome> sum(scenario.kinds.size());
+  for (scenario.seed = 1; scenario.seed <= kSeeds; ++scenario.seed) {
+    const OverloadOutcome outcome = SimulateOverload(scenario, policy.policy);
+    for (std::size_t i = 0; i < sum.size(); ++i) {
+      sum[i].asked += outcome.kinds[i].asked;
+      sum[i].in_time += outcome.kinds[i].in_time;
+      sum[i].late += outcome.kinds[i].late;
+      sum[i].refused += outcome.kinds[i].refused;
+      sum[i].shed += outcome.kinds[i].shed;
+    }
+  }
+  for (std::size_t i = 0; i < sum.size(); ++i) {
+    const double asked = sum[i].asked;
+    std::printf("%s\t%u\t%u\t%s\t%u\t%.3f\t%.3f\t%.3f\t%.3f\n",
+                policy.name.c_str(), scenario.instances, evacuated,
+                scenario.kinds[i].name.c_str(), sum[i].asked,
+                sum[i].in_time / asked, sum[i].late / asked,
+                sum[i].refused / asked, sum[i].shed / asked);
+  }
+}
+
 }  // namespace
 
 int PrintAll() {
@@ -88,6 +123,26 @@
       PrintBursts(policy, instances);
     }
   }
+  const NamedPolicy loss_policies[] = {
+      {"two counters", {.admission = true}},
+      {"slots of the start",
+       {.admission = true,
+        .priorities = true,
+        .capacity = true,
+        .capacity_falls = false}},
+      {"slots at once",
+       {.admission = true, .priorities = true, .capacity = true}},
+  };
+  std::printf(
+      "policy\tinstances\tevacuated\tkind\tasked\tin time\tlate\trefused\t"
+      "shed\n");
+  for (const std::uint32_t instances : {8U, 76U, 300U}) {
+    for (const std::uint32_t evacuated : {30U, 75U, 100U}) {
+      for (const NamedPolicy& policy : loss_policies) {
+        PrintLoss(policy, instances, evacuated);
+      }
+    }
+  }
   const NamedPolicy caller_policies[] = {
       {"unfair", {.admission = true, .priorities = true, .capacity = true}},
       {"fair_callers",
@@ -97,11 +152,14 @@
         .capacity = true}},
   };
   std::printf(
-      "policy\tinstances\tresult\tlight asked\tlight in time\theavy asked\t"
+      "policy\tinstances\theavy callers\tlight asked\tlight in time\theavy "
+      "asked\t"
       "heavy in time\n");
   for (const std::uint32_t instances : {8U, 76U, 300U}) {
-    for (const NamedPolicy& policy : caller_policies) {
-      PrintCallers(policy, instances);
+    for (const std::uint32_t heavy_callers : {1U, 4U, 40U}) {
+      for (const NamedPolicy& policy : caller_policies) {
+        PrintCallers(policy, instances, heavy_callers);
+      }
     }
   }
   return 0;
--- a/Tests/Admission/KindsTest.cc
+++ b/Tests/Admission/KindsTest.cc
@@ -156,6 +156,25 @@
   CHECK(now.shed * 10 <= before.shed);
 }
 
+/// Guards against a loss of servers that admission control learns of only from
+/// full queues: without bursts, a loss of two thirds makes fewer urgent
+/// requests late or rejected in the first second when it is told at once.
+TEST(Kinds, ALossOfServersCountsAtOnce) {
+  OverloadScenario scenario = MakeScenario(76);
+  scenario.surge_s = 1;
+  scenario.evacuated_servers = 100;
+  for (OverloadKind& kind : scenario.kinds) {
+    kind.usual_load *= 3.25;
+  }
+  OverloadPolicy untold = kClasses;
+  untold.capacity_falls = false;
+  const OverloadOutcome late = SimulateOverload(scenario, untold);
+  const OverloadOutcome told = SimulateOverload(scenario, kClasses);
+  CHECK(Part(told.kinds[0].in_time, told.kinds[0]) >=
+        Part(late.kinds[0].in_time, late.kinds[0]) + 0.05);
+  CHECK(told.shed * 2 <= late.shed);
+}
+
 /// Guards against callers that crowd out others.
 TEST(Kinds, FairCallersServeCallersThatAskForLittle) {
   for (const std::uint32_t instances : {8U, 76U, 300U}) {
--- a/Tests/Settings/SettingsTest.cc
+++ b/Tests/Settings/SettingsTest.cc
@@ -132,7 +132,7 @@
 /// Guards against a change of who is refused that no setting asks for.
 TEST(Settings, FairCallersIsOffUnlessItIsSetToTrue) {
   const auto parse = [](const std::string& line) {
-    return Parse(MakeText("") + "[fleet]\n" + line + "\n");
+    return Parse(MakeText("data_centre = dc") + "[fleet]\n" + line + "\n");
   };
   CHECK_FALSE(parse("").settings.fleet.fair_callers);
   CHECK_FALSE(parse("fair_callers = false").settings.fleet.fair_callers);
