Placement: Place by the load of data centres and the speed of servers

An entry instance sees only its own flows: it cannot tell that a server is slow, and a data centre that is full as a whole looks like its own average, so nothing spilled over.

With the new setting [fleet] balance_by_load, entry instances report the durations of ended flows by server with the polls. Control instances aggregate and forward them and set ServerRecord.slowness_percent. Placement leaves out slow servers and loaded data centres for a random share of the flows that follows their load. Without the setting decisions and messages are as before.

--- a/Source/Distribution/ReceivedRecords.cc
+++ b/Source/Distribution/ReceivedRecords.cc
@@ -159,6 +159,13 @@
   return entry.seq() <= kMaxNumber && IsUsable(entry.ballot());
 }
 
+bool HasImpossibleDurations(const wire::ServerOutcome& outcome) {
+  const std::uint64_t max_duration_ms =
+      outcome.timed() * static_cast<std::uint64_t>(kMaxFlowDuration.count());
+  return outcome.timed() > kMaxOutcomesPerServer ||
+         outcome.duration_ms() > max_duration_ms;
+}
+
 /// Removes the position if no registry has it, so that the receiver's one
 /// stays.
 void CheckPosition(wire::Update& update, SetAsideRecords& records) {
@@ -303,7 +310,8 @@
   auto& servers = *outcomes.mutable_servers();
   const auto is_impossible = [&](const wire::ServerOutcome& outcome) {
     const bool impossible = outcome.served() > kMaxOutcomesPerServer ||
-                            outcome.failed() > kMaxOutcomesPerServer;
+                            outcome.failed() > kMaxOutcomesPerServer ||
+                            HasImpossibleDurations(outcome);
     if (impossible) {
       SetAside(records, InputError::kOutOfRange, outcome.SerializeAsString());
     }
--- a/Source/Distribution/ReceivedRecords.h
+++ b/Source/Distribution/ReceivedRecords.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "Base/InputError.h"
+#include "Base/Time.h"
 #include "Wire/distribution.pb.h"
 
 /// Checks what other instances send and what was stored by an earlier build.
@@ -27,6 +28,8 @@
 /// Limits on what is said about servers that warm up.
 inline constexpr std::uint32_t kMaxWarmupFlowsPerSecond = 1'000'000;
 inline constexpr std::uint32_t kMaxServiceWarmupMs = 3'600'000;
+/// Maximum duration of one flow in flow outcomes.
+inline constexpr Milliseconds kMaxFlowDuration{std::chrono::minutes(10)};
 
 /// The records that were set aside.
 struct SetAsideRecords {
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -136,6 +136,7 @@
   ReportSetAside(context, set_aside, "disk");
   for (wire::ServerRecord& record : servers) {
     record.set_failing(false);  // Flow outcomes are not saved.
+    record.set_slowness_percent(0);
     if (record.warmup_ms() > 0) {
       // The saved time is what is left now, though the report is dated back.
       const std::int64_t warmup_ms =
@@ -215,6 +216,7 @@
   RetryEvacuationOrders(context);
   AnswerPendingReports(context);
   ProcessOutcomes(context);
+  ProcessDurations(context);
   if (context.now >= instance.next_save_at) {
     SaveServers(context);
   }
@@ -432,7 +434,8 @@
   TimePoint due = std::min(
       {instance.next_subscribe_at, instance.next_push_at,
        instance.next_housekeeping_at, instance.outcomes.next_evaluation_at,
-       NextDue(instance.evacuations), NextDue(instance.follower_queue)});
+       instance.speeds.next_evaluation_at, NextDue(instance.evacuations),
+       NextDue(instance.follower_queue)});
   if (!instance.disk_failed) {
     due = std::min(due, NextDue(instance.replica));
   }
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -16,6 +16,7 @@
 #include "Distribution/RouteHistory.h"
 #include "Fleet/Fleet.h"
 #include "Fleet/FollowerQueue.h"
+#include "Fleet/ServerSpeeds.h"
 #include "Fleet/WarmupGrants.h"
 #include "Outcomes/Outcomes.h"
 #include "Registry/Registry.h"
@@ -142,6 +143,7 @@
   std::deque<PendingReport> reports;
   ServerOutcomes outcomes;
   WarmupGrants warmup;
+  ServerSpeeds speeds;
   std::string logged_voters;  ///< Voters as last logged.
   std::uint64_t next_token = 1;
   TimePoint started_at;
--- a/Source/Fleet/EntryHousekeeping.cc
+++ b/Source/Fleet/EntryHousekeeping.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Fleet/EntryBalance.h"
+
 namespace filbertwall {
 namespace {
 
@@ -23,6 +25,7 @@
        ReportAdmission(instance.admission_report, instance.forwarder)) {
     effects.emplace_back(std::move(record));
   }
+  LogDiversions(instance, now, effects);
 }
 
 }  // namespace filbertwall
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Distribution/PackedContents.h"
+#include "Fleet/EntryBalance.h"
 #include "Fleet/EntryHousekeeping.h"
 
 namespace filbertwall {
@@ -73,6 +74,8 @@
     item.set_id(forwarder.placement.servers[server].id);
     item.set_served(delta.served);
     item.set_failed(delta.failed);
+    item.set_timed(delta.timed);
+    item.set_duration_ms(delta.duration_ms);
   }
   forwarder.outcomes.unreported.clear();
 }
@@ -195,11 +198,16 @@
 }
 
 /// Returns whether a record has changed.
-bool MergeServers(EventContext& context, const wire::Update& update) {
+bool MergeServers(EventContext& context, InstanceAddress from,
+                  const wire::Update& update) {
   EntryInstance& instance = context.instance;
+  const bool by_load = instance.config.balance_by_load;
   bool changed = false;
   for (const wire::ServerRecord& record : update.servers()) {
     if (!MergeServerRecord(instance.registry, record, context.now)) {
+      if (by_load && from == instance.primary) {
+        AdoptSlowness(instance, record);
+      }
       continue;
     }
     changed = true;
@@ -304,6 +312,9 @@
   if (instance.primary == 0 || (local && !has_local)) {
     instance.primary = from;
     instance.next_poll_at = context.now;
+    if (instance.config.balance_by_load) {
+      ForgetSlowness(instance, from);
+    }
     Log(context, EventId::kControlInstanceSelected,
         "control=" + FormatIp(from) + " data_centre=" + source.data_centre);
   }
@@ -385,7 +396,7 @@
   source.data_centre = update.data_centre();
   source.rules_status = ExtractRulesStatus(update);
   source.rules_status_at = context.now;
-  const bool servers_changed = MergeServers(context, update);
+  const bool servers_changed = MergeServers(context, from, update);
   const bool has_contents = update.registry_epoch() != 0;
   if (has_contents) {
     AdvancePosition(source.position, update);
@@ -401,6 +412,7 @@
   ApplyRoutesUpdate(context, update);
   PrepareWarmupRequest(instance.forwarder.placement, servers_changed,
                        context.now);
+  UpdateCapacities(instance, context.now);
   ConfirmRules(context, update);
   RequestMissingContents(context, from, update);
   if (update.fresh()) {
@@ -500,9 +512,11 @@
   EntryInstance instance{.config = config};
   instance.probe_interval = kMinProbeInterval;
   instance.contents_request_interval = kMinContentsRequestInterval;
-  instance.forwarder.placement.config = {.data_centre = config.data_centre,
-                                         .seed = config.incarnation,
-                                         .regions = config.regions};
+  instance.forwarder.placement.config = {
+      .data_centre = config.data_centre,
+      .seed = config.incarnation,
+      .regions = config.regions,
+      .balance_by_load = config.balance_by_load};
   ConfigureAdmission(instance.forwarder, config);
   return instance;
 }
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -67,6 +68,9 @@
   TimePoint stop_at;
   InputErrorCounts set_aside;  ///< Records that could not be used.
   AdmissionReport admission_report;
+  /// Services and data centres whose diversion was logged; see
+  /// `LogDiversions`.
+  std::set<std::pair<ServiceIndex, std::uint32_t>> diverted;
 };
 
 struct EntryStarted {};
--- a/Source/Fleet/Fleet.h
+++ b/Source/Fleet/Fleet.h
@@ -36,6 +36,9 @@
   std::map<std::string, std::string> regions;  ///< By data centre.
   /// Whether callers that ask for the most are refused first.
   bool fair_callers = false;
+  /// Whether new flows are placed by the speed of servers and the load of data
+  /// centres.
+  bool balance_by_load = false;
   std::uint64_t incarnation = 0;  ///< Differs at each start.
 };
 
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -69,17 +69,44 @@
   double ready = 0;
   double draining = 0;
   double silent = 0;
+  double slow = 0;
   for (const auto& [id, server] : registry.servers) {
     const bool is_ready = server.record.phase() == wire::SERVER_READY;
     const bool is_draining = server.record.phase() == wire::SERVER_DRAINING;
     ready += is_ready && !server.record.silent() ? 1 : 0;
     silent += is_ready && server.record.silent() ? 1 : 0;
     draining += is_draining ? 1 : 0;
+    slow += is_ready && server.record.slowness_percent() > 0 ? 1 : 0;
   }
   const std::string help = "Backend servers that are known, by state.";
   AddGauge(samples, "servers", help, ready, "ready");
   AddGauge(samples, "servers", help, draining, "draining");
   AddGauge(samples, "servers", help, silent, "silent");
+  AddGauge(samples, "slow_servers",
+           "Ready backend servers that work more slowly than others.", slow);
+}
+
+/// Metrics of the setting `balance_by_load`, as of the last new flows.
+void AddBalanceMetrics(Samples& samples, const Placement& placement) {
+  double max_load = 1;
+  double max_share = 0;
+  for (const LoadView& view : placement.load_views) {
+    for (const DataCentreView& data_centre : view.data_centres) {
+      max_load = std::max(max_load, data_centre.load);
+      max_share = std::max(max_share, data_centre.diverted_share);
+    }
+  }
+  AddGauge(samples, "data_centre_load",
+           "Duration of flows by that without load, highest of all services "
+           "and data centres.",
+           max_load);
+  AddGauge(samples, "diverted_share",
+           "Share of new flows that leave a loaded data centre, highest of all "
+           "services and data centres.",
+           max_share);
+  AddCounter(samples, "flows_diverted_total",
+             "New flows placed elsewhere because of the load of a data centre.",
+             placement.diverted_flows);
 }
 
 void AddWarmupMetrics(Samples& samples, const Placement& placement,
@@ -215,6 +242,7 @@
            "Backend servers left out because they did not answer.",
            static_cast<double>(avoided));
   AddWarmupMetrics(samples, instance.forwarder.placement, now);
+  AddBalanceMetrics(samples, instance.forwarder.placement);
   AddGauge(samples, "rules_version", "Version of the rules in force.",
            static_cast<double>(instance.forwarder.routes.version));
   AddGauge(samples, "rules_age_seconds",
--- a/Source/Fleet/ServerOutcomes.cc
+++ b/Source/Fleet/ServerOutcomes.cc
@@ -96,10 +96,14 @@
 
 void HandleOutcomes(ControlContext& context, const wire::Outcomes& outcomes) {
   ServerOutcomes& state = context.instance.outcomes;
+  HandleDurations(context, outcomes);
   for (const wire::ServerOutcome& outcome : outcomes.servers()) {
     if (!context.instance.registry.servers.contains(outcome.id())) {
       continue;  // Removed from the registry, or not yet known.
     }
+    if (outcome.served() == 0 && outcome.failed() == 0) {
+      continue;  // It holds durations only.
+    }
     AddOutcomes(state.stats, outcome.id(), outcome.served(), outcome.failed(),
                 context.now);
     if (!outcomes.passed_on()) {
--- a/Source/Forwarding/FlowOutcomes.h
+++ b/Source/Forwarding/FlowOutcomes.h
@@ -20,6 +20,8 @@
 struct OutcomeDelta {
   std::uint32_t served = 0;
   std::uint32_t failed = 0;
+  std::uint32_t timed = 0;        ///< Flows whose durations are summed.
+  std::uint64_t duration_ms = 0;  ///< Sum of their durations.
 };
 
 struct FlowOutcomes {
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -4,6 +4,7 @@
 
 #include "Base/Hash.h"
 #include "Forwarding/FlowClassOf.h"
+#include "Forwarding/FlowTimes.h"
 
 namespace filbertwall {
 namespace {
@@ -107,6 +108,7 @@
                .expires_at = expires_at,
                .due_at = fails_at,
                .late = late,
+               .download = route.kind == wire::REQUEST_DOWNLOAD,
                .objective = route.objective};
   if (late) {
     AddLateFlow(
@@ -274,6 +276,9 @@
           forwarder.outcomes, KeyOf(packet.key.address), flow.server,
           flow.ack_number - flow.first_ack_number);
       RecordDuration(forwarder, flow, succeeded, now);
+      if (succeeded) {
+        RecordFlowTime(forwarder, flow, now);
+      }
     } else if (packet.aborts && flow.answered && !flow.overdue) {
       RecordFailure(forwarder.outcomes, flow.server);
     }
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -78,6 +78,7 @@
   bool answered = false;      ///< The server has accepted the flow.
   bool overdue = false;       ///< Still open at `fails_at`.
   bool late = false;          ///< Included in the service's `ReleaseWindow`.
+  bool download = false;      ///< Its duration says little about its server.
   Milliseconds objective{0};  ///< Latency objective; 0: none.
 };
 
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "Base/Hash.h"
+#include "Placement/LoadDraw.h"
 
 namespace filbertwall {
 namespace {
@@ -24,8 +25,6 @@
 
 /// Additional cost of a server in another data centre, in flows per slot.
 constexpr double kRemoteCost = 0.2;
-/// Load factor of a server that is still warming up.
-constexpr double kWarmupFactor = 1.6;
 /// Cost of flows that last twice the mean duration of the service, in flows per
 /// slot.
 constexpr double kSlownessCost = 0.6;
@@ -68,15 +67,6 @@
          kSlownessCost * SlownessOf(placement, server, now);
 }
 
-bool IsAvoided(const PlacedServer& server, TimePoint now) {
-  if (now < server.avoid_until) {
-    return true;
-  }
-  return server.pending_openings > 0 &&
-         now - server.pending_since > kAnswerTimeout &&
-         server.answered_at <= server.pending_since;
-}
-
 void Avoid(PlacedServer& server, TimePoint now) {
   constexpr std::uint32_t kMaxDoublings = 3;
   const std::uint32_t doublings =
@@ -166,6 +156,68 @@
   return data_centre.consecutive_unanswered >= kUnansweredLimit;
 }
 
+struct Cheapest {
+  std::optional<ServerIndex> server;  ///< Empty when none may take the flow.
+  /// Whether a cold server was left out for lack of budget.
+  bool lacks_budget = false;
+};
+
+/// Returns the candidate with the lowest cost. `kByLoad` says whether the draws
+/// of `DrawLoads` count; a condition in the loop would cost time without them.
+/// Precondition: `candidates` is not empty.
+template <bool kByLoad>
+Cheapest FindCheapest(Placement& placement,
+                      const std::vector<ServerIndex>& candidates,
+                      const PlacementRequest& flow, const WarmupLimit* limit,
+                      TimePoint now) {
+  Cheapest result;
+  double best_cost = std::numeric_limits<double>::infinity();
+  // These costs are far above the costs of load. A server that seems
+  // unreachable, has not answered this flow, or is failing is chosen only when
+  // there is no better one.
+  constexpr double kAvoidedCost = 1000;
+  constexpr double kUnansweredServerCost = 500;
+  constexpr double kFailingCost = 100;
+  const std::size_t start =
+      MixHash(placement.config.seed, placement.draw_count++) %
+      candidates.size();
+  std::uint64_t equal_costs = 1;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const ServerIndex index = candidates[(start + i) % candidates.size()];
+    if (!MayTakeFlow(placement, index, limit, now)) {
+      result.lacks_budget = true;
+      continue;
+    }
+    const PlacedServer& server = placement.servers[index];
+    const PlacedDataCentre& data_centre =
+        placement.data_centres[server.data_centre];
+    if (!IsAllowed(flow, data_centre)) {
+      continue;
+    }
+    double cost = CostOf(placement, server, now) +
+                  (IsAvoided(server, now) ? kAvoidedCost : 0) +
+                  (now < data_centre.avoid_until ? kAvoidedCost : 0) +
+                  (server.failing ? kFailingCost : 0) +
+                  (flow.unanswered_server == index ? kUnansweredServerCost : 0);
+    if constexpr (kByLoad) {
+      cost += LoadCost(placement, server);
+    }
+    if (cost < best_cost) {
+      result.server = index;
+      best_cost = cost;
+      equal_costs = 1;
+    } else if (kByLoad && cost == best_cost) {
+      // The first of several servers with the same cost would be chosen more
+      // often if servers that cost more precede it in the list.
+      equal_costs += 1;
+      if (DrawOneIn(placement, equal_costs)) {
+        result.server = index;
+      }
+    }
+  }
+  return result;
+}
+
 }  // namespace
 
 namespace {
@@ -187,6 +239,15 @@
 
 }  // namespace
 
+bool IsAvoided(const PlacedServer& server, TimePoint now) {
+  if (now < server.avoid_until) {
+    return true;
+  }
+  return server.pending_openings > 0 &&
+         now - server.pending_since > kAnswerTimeout &&
+         server.answered_at <= server.pending_since;
+}
+
 std::uint64_t ParseServerNumber(std::string_view id) {
   constexpr unsigned kBitsOfDigit = 4;
   std::uint64_t number = 0;
@@ -263,6 +324,7 @@
   }
   server.usable = record.phase() == wire::SERVER_READY && !record.silent();
   server.failing = record.failing();
+  server.slowness = SlownessFactor(placement.config, record);
 }
 
 void SetEvacuated(Placement& placement, std::set<std::string> names,
@@ -341,51 +403,27 @@
     RecordWarmupFlow(placement, *failing, limit, now);
     return failing;
   }
-  std::optional<ServerIndex> best;
-  double best_cost = std::numeric_limits<double>::infinity();
-  // These costs are far above the costs of load. A server that seems
-  // unreachable, has not answered this flow, or is failing is chosen only when
-  // there is no better one.
-  constexpr double kAvoidedCost = 1000;
-  constexpr double kUnansweredServerCost = 500;
-  constexpr double kFailingCost = 100;
-  const std::size_t start =
-      MixHash(placement.config.seed, placement.draw_count++) %
-      candidates.size();
-  bool left_out = false;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const ServerIndex index = candidates[(start + i) % candidates.size()];
-    if (!MayTakeFlow(placement, index, limit, now)) {
-      left_out = true;
-      continue;
-    }
-    const PlacedServer& server = placement.servers[index];
-    const PlacedDataCentre& data_centre =
-        placement.data_centres[server.data_centre];
-    if (!IsAllowed(flow, data_centre)) {
-      continue;
-    }
-    const double cost =
-        CostOf(placement, server, now) +
-        (IsAvoided(server, now) ? kAvoidedCost : 0) +
-        (now < data_centre.avoid_until ? kAvoidedCost : 0) +
-        (server.failing ? kFailingCost : 0) +
-        (flow.unanswered_server == index ? kUnansweredServerCost : 0);
-    if (cost < best_cost) {
-      best = index;
-      best_cost = cost;
-    }
+  Cheapest cheapest;
+  if (placement.config.balance_by_load) {
+    DrawLoads(placement, flow.service, now);
+    cheapest = FindCheapest<true>(placement, candidates, flow, limit, now);
+  } else {
+    cheapest = FindCheapest<false>(placement, candidates, flow, limit, now);
   }
-  if (left_out) {
+  if (cheapest.lacks_budget) {
     ScheduleWarmupRequest(placement.warmup, kWarmupRequestInterval, now);
   }
-  if (!best) {
-    placement.warmup.counters.refused += left_out ? 1 : 0;
+  if (!cheapest.server) {
+    placement.warmup.counters.refused += cheapest.lacks_budget ? 1 : 0;
     return std::nullopt;
   }
-  RecordWarmupFlow(placement, *best, limit, now);
+  const ServerIndex best = *cheapest.server;
+  if (placement.config.balance_by_load) {
+    CountDiverted(placement, placement.servers[best]);
+  }
+  RecordWarmupFlow(placement, best, limit, now);
   PlacedDataCentre& chosen =
-      placement.data_centres[placement.servers[*best].data_centre];
+      placement.data_centres[placement.servers[best].data_centre];
   if (SeemsUnreachable(chosen)) {
     chosen.avoid_until = now + kDataCentreAvoidance;
   }
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -12,6 +12,7 @@
 
 #include "Base/Endpoint.h"
 #include "Base/Time.h"
+#include "Placement/DataCentreLoad.h"
 #include "Warmup/WarmupBudget.h"
 #include "Wire/registry.pb.h"
 
@@ -44,6 +45,9 @@
   /// service.
   bool failing = false;
   TimePoint warmup_ends_at;  ///< The server is slower until this time.
+  /// Duration of its flows in units of that of its service, as the control
+  /// instances found it; 1: as usual.
+  double slowness = 1;
 
   std::uint32_t in_flight = 0;  ///< Flows of this instance.
   /// Opening packets sent to the server for which it is not yet known whether
@@ -81,6 +85,22 @@
   std::string data_centre;  ///< Of this instance.
   std::uint64_t seed = 0;   ///< Must differ between instances.
   std::map<std::string, std::string> regions;  ///< By data centre.
+  /// Whether flows are diverted from loaded data centres and slow servers.
+  bool balance_by_load = false;
+};
+
+/// The load of a service at one data centre.
+struct DataCentreView {
+  bool usable = false;        ///< Has servers that answer.
+  double load = 1;            ///< See `LoadOf`.
+  double diverted_share = 0;  ///< See `DivertedShare`.
+  bool diverted = false;  ///< The flow being placed is one of those diverted.
+};
+
+/// The loads of a service, by data centre.
+struct LoadView {
+  std::vector<DataCentreView> data_centres;
+  TimePoint updated_at;
 };
 
 struct Placement {
@@ -106,6 +126,11 @@
   std::vector<double> mean_duration_ms_by_service;
   /// Limits on new flows to cold servers, and the leases held on them.
   WarmupBudget warmup;
+  DataCentreLoads loads;  ///< Only with `balance_by_load`.
+  /// By service; see `UpdateLoadView`. Shorter before the first flow.
+  std::vector<LoadView> load_views;
+  /// Flows placed outside their data centre since they were diverted from it.
+  std::uint64_t diverted_flows = 0;
   /// Random numbers drawn so far; input to the next one.
   std::uint64_t draw_count = 0;
 };
@@ -137,6 +162,13 @@
 /// Call after a series of `UpdateServer` calls.
 void RefreshUsable(Placement& placement);
 
+/// Load factor of a server that is still warming up.
+inline constexpr double kWarmupFactor = 1.6;
+
+/// Returns whether the server is chosen only when there is no other, since it
+/// does not answer opening packets.
+bool IsAvoided(const PlacedServer& server, TimePoint now);
+
 /// A new flow for which a server is to be chosen.
 struct PlacementRequest {
   ServiceIndex service = 0;
--- a/Source/Registry/Registry.cc
+++ b/Source/Registry/Registry.cc
@@ -79,6 +79,7 @@
     return next.sequence() > known.sequence();
   }
   return next.silent() != known.silent() || next.failing() != known.failing() ||
+         next.slowness_percent() != known.slowness_percent() ||
          StartsAnew(Milliseconds(next.warmup_ms()),
                     RemainingWarmup(server, now));
 }
@@ -89,9 +90,10 @@
   const bool same =
       left.incarnation() == right.incarnation() &&
       left.phase() == right.phase() && left.silent() == right.silent() &&
-      left.failing() == right.failing() && left.service() == right.service() &&
-      left.ip() == right.ip() && left.port() == right.port() &&
-      left.slots() == right.slots();
+      left.failing() == right.failing() &&
+      left.slowness_percent() == right.slowness_percent() &&
+      left.service() == right.service() && left.ip() == right.ip() &&
+      left.port() == right.port() && left.slots() == right.slots();
   return !same;
 }
 
@@ -140,6 +142,10 @@
   if (record.warmup_ms() > kMaxWarmup.count()) {
     return "warm-up: expected at most 24 hours";
   }
+  if (record.slowness_percent() > kMaxSlownessPercent) {
+    return "slowness: expected at most " + std::to_string(kMaxSlownessPercent) +
+           " percent";
+  }
   return "";
 }
 
@@ -235,12 +241,25 @@
   AssignNextChange(registry, id, server->second);
 }
 
+void SetSlowness(Registry& registry, const std::string& id,
+                 std::uint32_t percent) {
+  const auto server = registry.servers.find(id);
+  if (server == registry.servers.end() ||
+      server->second.record.slowness_percent() == percent) {
+    return;
+  }
+  server->second.record.set_slowness_percent(percent);
+  AssignNextChange(registry, id, server->second);
+}
+
 void PreserveFailingState(const Registry& registry,
                           wire::ServerRecord& record) {
   const auto known = registry.servers.find(record.id());
   const bool same = known != registry.servers.end() &&
                     known->second.record.incarnation() == record.incarnation();
   record.set_failing(same && known->second.record.failing());
+  record.set_slowness_percent(same ? known->second.record.slowness_percent()
+                                   : 0);
 }
 
 std::size_t MarkSilent(Registry& registry, Milliseconds limit, TimePoint now) {
--- a/Source/Registry/Registry.h
+++ b/Source/Registry/Registry.h
@@ -28,6 +28,7 @@
 inline constexpr std::uint32_t kMaxServerSlots = 100000;
 inline constexpr Milliseconds kMaxWarmup{std::chrono::hours(24)};
 inline constexpr std::uint64_t kMaxSequence = INT64_MAX;
+inline constexpr std::uint32_t kMaxSlownessPercent = 10000;
 /// 2100-01-01T00:00:00Z in Unix milliseconds.
 inline constexpr std::uint64_t kMaxIncarnation = 4102444800000;
 
@@ -110,10 +111,16 @@
 /// many of its flows fail. Ignores unknown ids.
 void SetFailing(Registry& registry, const std::string& id, bool failing);
 
-/// Sets `failing` of a received record to the value in this registry, or to
-/// false when the registry has no record of the same incarnation. Each control
-/// instance decides on its own whether a server is failing; the value that a
-/// server or another control instance sent is ignored.
+/// Sets how slow a server is, in percent of the usual time of work of its
+/// service; 0: as usual. Ignores unknown ids.
+void SetSlowness(Registry& registry, const std::string& id,
+                 std::uint32_t percent);
+
+/// Sets `failing` and `slowness_percent` of a received record to the values in
+/// this registry, or to false and 0 when the registry has no record of the same
+/// incarnation. Each control instance decides on its own whether a server is
+/// failing or slow; the value that a server or another control instance sent is
+/// ignored.
 void PreserveFailingState(const Registry& registry, wire::ServerRecord& record);
 
 /// Marks servers as silent that have not reported to any control instance for
--- a/Source/Settings/Settings.cc
+++ b/Source/Settings/Settings.cc
@@ -287,6 +287,7 @@
           {"announce_interval", DurationSetter(fleet.announce_interval)},
           {"metrics_port", PortSetter(fleet.metrics_port)},
           {"refuse_overload", BooleanSetter(fleet.refuse_overload)},
+          {"balance_by_load", BooleanSetter(fleet.balance_by_load)},
           {"fair_callers", BooleanSetter(fleet.fair_callers)},
           {"peer_port", PortSetter(fleet.peer_port)},
           {"regions", RegionsSetter(fleet.regions)}};
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -45,6 +45,8 @@
   bool refuse_overload = true;  ///< Refuse new flows that would be served late.
   /// Among the callers of a class, refuse those that ask for the most.
   bool fair_callers = false;
+  /// Place new flows by the speed of servers and the load of data centres.
+  bool balance_by_load = false;
   /// Port at which the other instances receive messages; 0: the port of
   /// control_address.
   std::uint16_t peer_port = 0;
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -394,6 +394,7 @@
                      .refuse_overload = settings.fleet.refuse_overload,
                      .regions = settings.fleet.regions,
                      .fair_callers = settings.fleet.fair_callers,
+                     .balance_by_load = settings.fleet.balance_by_load,
                      .incarnation = incarnation};
   for (const Endpoint& seed : settings.fleet.seeds) {
     config.seeds.insert(seed.ip);
--- a/Tests/Distribution/ReceivedRecordsTest.cc
+++ b/Tests/Distribution/ReceivedRecordsTest.cc
@@ -51,6 +51,26 @@
   LONGS_EQUAL(3, update.control_instances_size());
 }
 
+/// A duration that no flow has would make its server the slowest one.
+TEST(ReceivedRecords, ImpossibleDurationsMarkNoServer) {
+  wire::Outcomes outcomes;
+  wire::ServerOutcome& none = *outcomes.add_servers();
+  none.set_served(1);
+  none.set_duration_ms(1);
+  wire::ServerOutcome& longest = *outcomes.add_servers();
+  longest.set_timed(2);
+  longest.set_duration_ms(2 * kMaxFlowDuration.count());
+  wire::ServerOutcome& longer = *outcomes.add_servers();
+  longer.set_timed(2);
+  longer.set_duration_ms(2 * kMaxFlowDuration.count() + 1);
+  wire::ServerOutcome& many = *outcomes.add_servers();
+  many.set_timed(std::numeric_limits<std::uint32_t>::max());
+  CheckOutcomes(outcomes, this->set_aside);
+  LONGS_EQUAL(1, outcomes.servers_size());
+  CHECK_EQUAL(2, outcomes.servers(0).timed());
+  CHECK_EQUAL(3, this->set_aside.counts.Get(InputError::kOutOfRange));
+}
+
 TEST(ReceivedRecords, ImpossibleOutcomesMarkNoServer) {
   wire::Outcomes outcomes;
   outcomes.add_servers()->set_failed(std::numeric_limits<std::uint32_t>::max());
--- a/Tests/Registry/RegistryTest.cc
+++ b/Tests/Registry/RegistryTest.cc
@@ -291,3 +291,39 @@
                     kStart + Milliseconds(3000));
   CHECK_EQUAL(0, CurrentRecord(this->registry).warmup_ms());
 }
+
+/// Each control instance decides by itself how slow a server is: the word of a
+/// server or of another control instance must not replace it, and a mark must
+/// not pass to a server's next incarnation.
+TEST(Registry, SlownessIsDecidedHereAndToldAsAChange) {
+  Registry registry;
+  MergeServerRecord(registry, MakeRecord(5, 1), kStart);
+  const std::string id = CurrentRecord(registry).id();
+  const std::uint64_t before = registry.change;
+  SetSlowness(registry, id, 300);
+  CHECK(registry.change > before);
+  wire::ServerRecord report = MakeRecord(5, 2);
+  report.set_slowness_percent(150);
+  PreserveFailingState(registry, report);
+  LONGS_EQUAL(300, report.slowness_percent());
+  CHECK_FALSE(MergeServerRecord(registry, report, kStart));
+  LONGS_EQUAL(300, CurrentRecord(registry).slowness_percent());
+  wire::ServerRecord restarted = MakeRecord(6, 1);
+  restarted.set_slowness_percent(150);
+  PreserveFailingState(registry, restarted);
+  LONGS_EQUAL(0, restarted.slowness_percent());
+  SetSlowness(registry, "unknown", 300);
+  LONGS_EQUAL(1, registry.servers.size());
+}
+
+/// An entry instance takes a changed slowness although the report is the same.
+TEST(Registry, AChangedSlownessOfTheSameReportIsMerged) {
+  Registry registry;
+  wire::ServerRecord record = MakeRecord(5, 1);
+  MergeServerRecord(registry, record, kStart);
+  record.set_slowness_percent(200);
+  CHECK(MergeServerRecord(registry, record, kStart));
+  LONGS_EQUAL(200, CurrentRecord(registry).slowness_percent());
+  record.set_slowness_percent(kMaxSlownessPercent + 1);
+  CHECK_FALSE(CheckServerRecord(record).empty());
+}
--- a/Tests/Settings/SettingsTest.cc
+++ b/Tests/Settings/SettingsTest.cc
@@ -184,3 +184,18 @@
     CHECK(parsed.usable);
   }
 }
+
+/// Deployments that don't ask for it keep their decisions and messages.
+TEST(Settings, BalancingByLoadIsOffUnlessAskedFor) {
+  const std::string text = MakeText("data_centre = dc");
+  CHECK_FALSE(Parse(text).settings.fleet.balance_by_load);
+  const auto parse_with = [&](const std::string& value) {
+    std::string changed = text;
+    changed.insert(changed.find("[security]"),
+                   "balance_by_load = " + value + "\n");
+    return Parse(changed);
+  };
+  CHECK(parse_with("true").settings.fleet.balance_by_load);
+  CHECK(parse_with("true").findings.empty());
+  CHECK_FALSE(parse_with("yes").findings.empty());
+}
