--- a/Source/Fleet/WarmupGrants.cc
+++ b/Source/Fleet/WarmupGrants.cc
@@ -151,7 +151,7 @@
 
 void NoteEvacuations(ControlContext& context) {
   ControlInstance& instance = context.instance;
-  std::set<std::string> evacuated;
+  std::set<std::string> evacuated = instance.evacuations.by_rules;
   for (const wire::Evacuation& item :
        instance.replica.committed.evacuations()) {
     evacuated.insert(item.data_centre());
