--- a/Source/Admission/ServiceCapacity.cc
+++ b/Source/Admission/ServiceCapacity.cc
@@ -15,8 +15,9 @@
 /// longer than an overload usually lasts.
 constexpr Milliseconds kUsualRiseTime{120000};
 /// A flow that waits in an almost full queue takes this multiple of the usual
-/// duration. Servers with a full queue reject flows, whatever their class.
-constexpr double kFullQueueMultiple = 5;
+/// duration. Servers with a full queue reject flows, whatever their class. A
+/// multiple of 5 refuses less urgent classes at 0.9 of the capacity.
+constexpr double kFullQueueMultiple = 6;
 /// Durations that vary without queueing reach this multiple of the usual one.
 constexpr double kUsualVariation = 1.3;
 /// Highest utilization at which the answers are in time.
