--- a/Source/Placement/LoadDraw.cc
+++ b/Source/Placement/LoadDraw.cc
@@ -21,8 +21,8 @@
 constexpr double kMaxBusyLoad = 2.2;
 /// How long the loads of a service are used for new flows.
 constexpr Milliseconds kViewLifetime{20};
-constexpr double kMaxSlowness = 100;
-constexpr double kPercent = 100;
+constexpr float kMaxSlowness = 100;
+constexpr float kPercent = 100;
 
 /// Returns a random number from 0 to less than 1.
 double Draw(Placement& placement) {
@@ -56,12 +56,12 @@
 
 }  // namespace
 
-double SlownessFactor(const PlacementConfig& config,
-                      const wire::ServerRecord& record) {
+float SlownessFactor(const PlacementConfig& config,
+                     const wire::ServerRecord& record) {
+  const auto percent = static_cast<float>(record.slowness_percent());
   return config.balance_by_load
-             ? std::clamp(record.slowness_percent() / kPercent, 1.0,
-                          kMaxSlowness)
-             : 1.0;
+             ? std::clamp(percent / kPercent, 1.0F, kMaxSlowness)
+             : 1.0F;
 }
 
 const LoadView& UpdateLoadView(Placement& placement, ServiceIndex service,
--- a/Source/Placement/LoadDraw.h
+++ b/Source/Placement/LoadDraw.h
@@ -12,8 +12,8 @@
 namespace filbertwall {
 
 /// Returns `PlacedServer::slowness` for a record: 1 without `balance_by_load`.
-double SlownessFactor(const PlacementConfig& config,
-                      const wire::ServerRecord& record);
+float SlownessFactor(const PlacementConfig& config,
+                     const wire::ServerRecord& record);
 
 /// Returns the loads of a service; updates them if they are too old for a
 /// choice. Precondition: the service exists.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -178,12 +178,13 @@
   constexpr double kAvoidedCost = 1000;
   constexpr double kUnansweredServerCost = 500;
   constexpr double kFailingCost = 100;
-  const std::size_t start =
+  std::size_t position =
       MixHash(placement.config.seed, placement.draw_count++) %
       candidates.size();
   std::uint64_t equal_costs = 1;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const ServerIndex index = candidates[(start + i) % candidates.size()];
+    const ServerIndex index = candidates[position];
+    position = position + 1 < candidates.size() ? position + 1 : 0;
     if (!MayTakeFlow(placement, index, limit, now)) {
       result.lacks_budget = true;
       continue;
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -44,10 +44,11 @@
   /// Fails a larger share of its requests than the other servers of its
   /// service.
   bool failing = false;
-  TimePoint warmup_ends_at;  ///< The server is slower until this time.
   /// Duration of its flows in units of that of its service, as the control
-  /// instances found it; 1: as usual.
-  double slowness = 1;
+  /// instances found it; 1: as usual. It fits before the next member, since
+  /// larger servers take longer to compare.
+  float slowness = 1;
+  TimePoint warmup_ends_at;  ///< The server is slower until this time.
 
   std::uint32_t in_flight = 0;  ///< Flows of this instance.
   /// Opening packets sent to the server for which it is not yet known whether
