--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -167,6 +167,34 @@
   return names.size();
 }
 
+/// `seq` is the log entry of the newest known command.
+void AddEvacuationMetrics(Samples& samples, std::size_t evacuated,
+                          std::uint64_t seq) {
+  AddGauge(samples, "evacuated_data_centres",
+           "Data centres whose servers get no new flow.",
+           static_cast<double>(evacuated));
+  AddGauge(samples, "evacuations_seq",
+           "Log entry of the newest known evacuation command.",
+           static_cast<double>(seq));
+}
+
+void AddEvacuationMetrics(Samples& samples, const EntryInstance& instance) {
+  AddEvacuationMetrics(samples, instance.forwarder.placement.evacuated.size(),
+                       instance.evacuations.seq);
+}
+
+void AddEvacuationOrderMetrics(Samples& samples,
+                               const ControlCounters& counters) {
+  const std::string orders_help =
+      "Evacuation commands that were answered here, by answer.";
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_accepted, "accepted");
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_refused, "refused");
+  AddCounter(samples, "evacuation_orders_total", orders_help,
+             counters.evacuations_unavailable, "unavailable");
+}
+
 }  // namespace
 
 std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
@@ -223,12 +251,7 @@
     max_slowness = std::max(
         max_slowness, ExpectedSlowness(instance.forwarder.admission, i, now));
   }
-  AddGauge(samples, "evacuated_data_centres",
-           "Data centres whose servers get no new flow.",
-           static_cast<double>(instance.forwarder.placement.evacuated.size()));
-  AddGauge(samples, "evacuations_seq",
-           "Log entry of the newest known evacuation command.",
-           static_cast<double>(instance.evacuations.seq));
+  AddEvacuationMetrics(samples, instance);
   AddGauge(samples, "expected_slowness",
            "Expected time to an answer by its objective, slowest service.",
            max_slowness);
@@ -292,20 +315,9 @@
              counters.reports_unconfirmed);
   AddCounter(samples, "submissions_total", "Rules files handed over here.",
              counters.submissions);
-  AddGauge(samples, "evacuated_data_centres",
-           "Data centres whose servers get no new flow.",
-           static_cast<double>(CountEvacuated(instance)));
-  AddGauge(samples, "evacuations_seq",
-           "Log entry of the newest known evacuation command.",
-           static_cast<double>(replica.committed.evacuation_seq()));
-  const std::string orders_help =
-      "Evacuation commands that were answered here, by answer.";
-  AddCounter(samples, "evacuation_orders_total", orders_help,
-             counters.evacuations_accepted, "accepted");
-  AddCounter(samples, "evacuation_orders_total", orders_help,
-             counters.evacuations_refused, "refused");
-  AddCounter(samples, "evacuation_orders_total", orders_help,
-             counters.evacuations_unavailable, "unavailable");
+  AddEvacuationMetrics(samples, CountEvacuated(instance),
+                       replica.committed.evacuation_seq());
+  AddEvacuationOrderMetrics(samples, counters);
   AddCounter(samples, "reads_undecided_total",
              "Reads refused as an earlier leader's entry was not committed.",
              counters.reads_undecided);
