Placement: Name the cost of flows on a slow server

The expression stood in a branch of LoadCost. The test of slowness in an older record now starts from instances that would send changes only; before, it passed for another reason.

--- a/Source/Placement/LoadDraw.cc
+++ b/Source/Placement/LoadDraw.cc
@@ -41,6 +41,13 @@
   return std::max(kMinSlowShare, std::pow(slowness, need - 2));
 }
 
+/// Returns the cost of the flows of this instance on a slow server beyond that
+/// on one of usual speed, in flows per slot.
+double SlownessCost(const PlacedServer& server) {
+  const double excess = static_cast<double>(server.slowness) - 1;
+  return excess * server.in_flight / server.slots;
+}
+
 /// Marks the data centres that have servers of the service that answer.
 void MarkUsable(const Placement& placement, ServiceIndex service, TimePoint now,
                 LoadView& view) {
@@ -122,8 +129,7 @@
   if (server.slowness > 1) {
     const bool left_out =
         Draw(placement) >= ShareOfSlowServer(server.slowness, data_centre.load);
-    cost += left_out ? kLeftOutCost
-                     : (server.slowness - 1) * server.in_flight / server.slots;
+    cost += left_out ? kLeftOutCost : SlownessCost(server);
   }
   return cost;
 }
--- a/Tests/Fleet/ServerSpeedsTest.cc
+++ b/Tests/Fleet/ServerSpeedsTest.cc
@@ -142,6 +142,11 @@
   update.mutable_servers(0)->set_slowness_percent(500);
   Apply(this->world, kFirstEntry, EntryEvent(message));
   DOUBLES_EQUAL(5, this->SlownessAt(kFirstEntry), 0);
+  // The others were followed before, so that they would send changes only.
+  for (const auto& [id, control] : this->world.controls) {
+    entry.sources.at(id).position = {.epoch = control.config.incarnation,
+                                     .change = control.registry.change};
+  }
   this->world.down.insert(primary);
   Run(this->world, Milliseconds(3000));
   CHECK(entry.primary != primary);
