--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -195,16 +195,10 @@
              counters.evacuations_unavailable, "unavailable");
 }
 
-}  // namespace
-
-std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
-                                         const ProcessStatistics& process,
-                                         TimePoint now) {
-  Samples samples;
-  AddProcessMetrics(samples, process);
-  AddSetAsideMetrics(samples, instance.set_aside);
-  AddServerMetrics(samples, instance.registry);
-  const ForwarderCounters& counters = instance.forwarder.counters;
+/// Adds what was decided on packets of callers.
+void AddPacketMetrics(Samples& samples, const Forwarder& forwarder,
+                      std::uint64_t malformed_packets) {
+  const ForwarderCounters& counters = forwarder.counters;
   const std::string packets_help = "Packets of callers, by what was decided.";
   AddCounter(samples, "packets_total", packets_help, counters.forwarded,
              "forwarded");
@@ -221,26 +215,38 @@
              "overload");
   AddCounter(samples, "packets_total", packets_help, counters.unknown_token,
              "unknown_token");
-  AddCounter(samples, "packets_total", packets_help, process.malformed_packets,
+  AddCounter(samples, "packets_total", packets_help, malformed_packets,
              "malformed");
   const std::string held_help =
       "Opening packets that came before this instance served.";
-  AddCounter(samples, "held_openings_total", held_help,
-             instance.forwarder.held.released, "released");
-  AddCounter(samples, "held_openings_total", held_help,
-             instance.forwarder.held.lapsed, "lapsed");
+  AddCounter(samples, "held_openings_total", held_help, forwarder.held.released,
+             "released");
+  AddCounter(samples, "held_openings_total", held_help, forwarder.held.lapsed,
+             "lapsed");
   const std::string late_help =
       "Opening packets whose answers were late already, and that waited until "
       "the service had capacity.";
-  AddCounter(samples, "late_openings_total", late_help,
-             instance.forwarder.late.released, "released");
-  AddCounter(samples, "late_openings_total", late_help,
-             instance.forwarder.late.lapsed, "lapsed");
+  AddCounter(samples, "late_openings_total", late_help, forwarder.late.released,
+             "released");
+  AddCounter(samples, "late_openings_total", late_help, forwarder.late.lapsed,
+             "lapsed");
+}
+
+}  // namespace
+
+std::vector<MetricSample> CollectMetrics(const EntryInstance& instance,
+                                         const ProcessStatistics& process,
+                                         TimePoint now) {
+  Samples samples;
+  AddProcessMetrics(samples, process);
+  AddSetAsideMetrics(samples, instance.set_aside);
+  AddServerMetrics(samples, instance.registry);
+  AddPacketMetrics(samples, instance.forwarder, process.malformed_packets);
   AddCounter(samples, "packet_send_failures_total",
              "Packets that the socket did not take.", process.send_failures);
   AddCounter(samples, "flows_expired_total",
              "Flows whose end was not seen within their time limit.",
-             counters.expired);
+             instance.forwarder.counters.expired);
   AddCounter(samples, "orders_refused_total",
              "New flows refused for load whose requests may not be repeated.",
              instance.forwarder.admission.counters.refused_non_retryable);
