Fleet: A control instance is in sync or not, as replicas are elsewhere

IsInTouch, in_touch and the events' names were words of our own for a replica that exchanges messages with the leader and knows what it may have missed; the field says in sync.

--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -59,12 +59,12 @@
 /// Returns whether messages pass between this instance and a leader in both
 /// directions and have told it what the leader knows: the rules and servers
 /// known here are then the newest ones, but for a short delay.
-bool IsInTouch(const ControlInstance& instance, TimePoint now);
+bool IsInSync(const ControlInstance& instance, TimePoint now);
 /// Requests the servers of the other control instances soon if this instance is
 /// heard by a leader, but does not know the servers yet.
 void CatchUp(ControlContext& context);
-/// Updates `in_touch` and what depends on it, and logs a change.
-void UpdateInTouch(ControlContext& context);
+/// Updates `in_sync` and what depends on it, and logs a change.
+void UpdateInSync(ControlContext& context);
 
 /// Returns whether the subscriber sent a request recently.
 bool IsActive(const Subscriber& subscriber, TimePoint now);
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -204,7 +204,7 @@
 void HandleTick(ControlContext& context) {
   ControlInstance& instance = context.instance;
   RunReplica(context, ControlTick{});
-  UpdateInTouch(context);
+  UpdateInSync(context);
   if (context.now >= instance.next_subscribe_at) {
     SubscribeToOthers(context);
   }
@@ -226,7 +226,7 @@
   instance.next_housekeeping_at = context.now + kHousekeepingInterval;
   const Milliseconds silence =
       instance.config.announce_interval * kIntervalsUntilSilent;
-  if (instance.in_touch &&
+  if (instance.in_sync &&
       MarkSilent(instance.registry, silence, context.now) > 0) {
     SchedulePush(context);
   }
@@ -282,7 +282,7 @@
   void operator()(const ControlInstanceStarted& event) {
     ControlInstance& instance = this->context.instance;
     instance.started_at = this->context.now;
-    instance.in_touch_until = this->context.now;
+    instance.in_sync_until = this->context.now;
     instance.next_push_at = kNever;
     NoteEvacuations(this->context);
     // Before the rest, since an election needs the answers to its messages.
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -166,8 +166,8 @@
   /// disk, received from a control instance with a complete one, or each server
   /// has had time to report.
   bool settled = false;
-  bool in_touch = false;     ///< `IsInTouch` at the last tick.
-  TimePoint in_touch_until;  ///< Last tick with `in_touch`, or the start.
+  bool in_sync = false;     ///< `IsInSync` at the last tick.
+  TimePoint in_sync_until;  ///< Last tick with `in_sync`, or the start.
   bool stopping = false;
   bool disk_failed = false;         ///< The replica is not run while set.
   std::uint64_t disk_restores = 0;  ///< `ControlDiskRestored` events so far.
--- a/Source/Fleet/ControlUpdates.cc
+++ b/Source/Fleet/ControlUpdates.cc
@@ -57,7 +57,7 @@
   ControlInstance& instance = context.instance;
   const wire::ControlState& state = instance.replica.committed;
   wire::Update update;
-  update.set_fresh(IsInTouch(instance, context.now));
+  update.set_fresh(IsInSync(instance, context.now));
   update.set_settled(CheckSettled(context));
   for (const wire::Member& member : state.members()) {
     update.add_control_instances(member.instance());
--- a/Source/Fleet/EntryInstance.h
+++ b/Source/Fleet/EntryInstance.h
@@ -29,7 +29,7 @@
   RegistryPosition position;
   std::string data_centre;
   TimePoint heard_at;  ///< Time of its last update.
-  /// Time of its last fresh update, whose sender was in touch with a leader.
+  /// Time of its last fresh update, whose sender was in sync with a leader.
   TimePoint fresh_at;
   /// When rules and servers were last requested from it; probes do not count.
   TimePoint contents_requested_at;
--- a/Source/Fleet/InTouch.cc
+++ b/Source/Fleet/InSync.cc
@@ -3,7 +3,7 @@
 #include "Base/Endpoint.h"
 #include "Fleet/ControlContext.h"
 
-/// Whether a control instance is in touch with a leader: messages pass in both
+/// Whether a control instance is in sync with a leader: messages pass in both
 /// directions, and it has been told what it may have missed.
 namespace filbertwall {
 namespace {
@@ -33,7 +33,7 @@
 }
 
 /// Returns whether this instance knows the servers that the leader knows, and
-/// as the leader those that another voter knows. What one instance in touch
+/// as the leader those that another voter knows. What one instance in sync
 /// knows, the leader is told.
 bool KnowsServersOfLeader(const ControlInstance& instance, TimePoint now) {
   const Replica& replica = instance.replica;
@@ -48,12 +48,12 @@
                      });
 }
 
-/// An instance that was out of touch can't tell which servers have reported to
+/// An instance that was out of sync can't tell which servers have reported to
 /// the others: gives them the time that they have after a start.
 void AllowTimeToReport(ControlContext& context) {
   ControlInstance& instance = context.instance;
   const Milliseconds interval = instance.config.announce_interval;
-  if (context.now - instance.in_touch_until > interval) {
+  if (context.now - instance.in_sync_until > interval) {
     SetLastHeardAtLeast(instance.registry,
                         context.now - interval * (kIntervalsUntilSilent -
                                                   kIntervalsUntilSettled));
@@ -62,7 +62,7 @@
 
 }  // namespace
 
-bool IsInTouch(const ControlInstance& instance, TimePoint now) {
+bool IsInSync(const ControlInstance& instance, TimePoint now) {
   return !instance.disk_failed &&
          HasFreshState(instance.replica, now, kFreshnessLimit) &&
          IsHeardByLeader(instance.replica, now, kHeardLimit) &&
@@ -81,23 +81,23 @@
   }
 }
 
-void UpdateInTouch(ControlContext& context) {
+void UpdateInSync(ControlContext& context) {
   ControlInstance& instance = context.instance;
   const Replica& replica = instance.replica;
-  const bool in_touch = IsInTouch(instance, context.now);
-  if (in_touch) {
+  const bool in_sync = IsInSync(instance, context.now);
+  if (in_sync) {
     AllowTimeToReport(context);
-    instance.in_touch_until = context.now;
+    instance.in_sync_until = context.now;
   }
-  if (in_touch == instance.in_touch) {
+  if (in_sync == instance.in_sync) {
     return;
   }
-  instance.in_touch = in_touch;
-  if (in_touch) {
-    Log(context, EventId::kInTouch, "leader=" + FormatIp(replica.leader));
+  instance.in_sync = in_sync;
+  if (in_sync) {
+    Log(context, EventId::kInSync, "leader=" + FormatIp(replica.leader));
     return;
   }
-  Log(context, EventId::kOutOfTouch,
+  Log(context, EventId::kOutOfSync,
       "leader=" + FormatIp(replica.leader) + " heard_ms=" +
           std::to_string(
               MillisecondsBetween(replica.leader_heard_at, context.now)) +
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -300,8 +300,11 @@
   AddGauge(samples, "leader_known",
            "1 when this instance leads or hears the leader.",
            HasFreshState(replica, now, replica.config.lease) ? 1 : 0);
-  AddGauge(samples, "in_touch", "1 when messages pass to and from a leader.",
-           instance.in_touch ? 1 : 0);
+  AddGauge(samples, "in_sync", "1 when messages pass to and from a leader.",
+           instance.in_sync ? 1 : 0);
+  // Deprecated name of `in_sync`, for the alerts that operators have on it.
+  AddGauge(samples, "in_touch", "Deprecated: the same as in_sync.",
+           instance.in_sync ? 1 : 0);
   AddGauge(samples, "voters", "Voting control instances.",
            replica.committed.members_size());
   AddGauge(samples, "rules_version", "Version of the rules in force.",
--- a/Source/Fleet/ServerReports.cc
+++ b/Source/Fleet/ServerReports.cc
@@ -11,9 +11,9 @@
 /// A report of a server that is not ready is answered only once another control
 /// instance has confirmed the record, or fails after this time.
 constexpr Milliseconds kConfirmTimeout{500};
-/// Servers are sent elsewhere once this instance is out of touch for this long.
+/// Servers are sent elsewhere once this instance is out of sync for this long.
 /// An election takes less, and the others mark a server as silent only later.
-constexpr Milliseconds kOutOfTouchLimit{1500};
+constexpr Milliseconds kOutOfSyncLimit{1500};
 
 /// Returns where a server should report next. What an instance that is out of
 /// touch is told does not reach the others, so it names the leader if it hears
@@ -21,7 +21,7 @@
 InstanceAddress NextReportAddress(const ControlContext& context,
                                   const wire::ServerRecord& record) {
   const ControlInstance& instance = context.instance;
-  if (context.now - instance.in_touch_until <= kOutOfTouchLimit) {
+  if (context.now - instance.in_sync_until <= kOutOfSyncLimit) {
     return instance.config.self;
   }
   const InstanceAddress leader = RedirectTarget(context);
--- a/Tests/Fleet/OneWayCutTest.cc
+++ b/Tests/Fleet/OneWayCutTest.cc
@@ -15,7 +15,7 @@
 /// A new server is used this long after its start at the latest, wherever it
 /// reported first.
 constexpr Milliseconds kRegistrationLimit = 5 * kReportInterval;
-/// Time after a cut after which the other control instances are in touch again.
+/// Time after a cut after which the other control instances are in sync again.
 constexpr Milliseconds kContactTime{4000};
 constexpr Milliseconds kStep{50};
 constexpr std::uint64_t kFirstVersion = 5;
--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -96,7 +96,7 @@
   FAIL("no control instance accepts the rules");
 }
 
-/// Sends the report of a server to a control instance that is in touch with a
+/// Sends the report of a server to a control instance that is in sync with a
 /// leader if there is one, as servers are told to.
 void ReportServer(WarmupWorld& test, const std::string& id,
                   std::uint32_t warmup_ms = 0) {
@@ -113,16 +113,16 @@
   event.record.set_sequence(++server.sequence);
   event.record.set_warmup_ms(warmup_ms);
   std::vector<InstanceAddress> running;
-  std::vector<InstanceAddress> in_touch;
+  std::vector<InstanceAddress> in_sync;
   for (const auto& [address, instance] : test.world.controls) {
     if (!test.world.down.contains(address)) {
       running.push_back(address);
-      if (instance.in_touch) {
-        in_touch.push_back(address);
+      if (instance.in_sync) {
+        in_sync.push_back(address);
       }
     }
   }
-  const auto& targets = in_touch.empty() ? running : in_touch;
+  const auto& targets = in_sync.empty() ? running : in_sync;
   if (!targets.empty()) {
     const std::size_t turn = ParseServerNumber(id) % targets.size();
     Apply(test.world, targets[turn], ControlInstanceEvent(event));
