Placement: Capacity knows warm-up limits and allowed regions

CapacityOf counted a cold server in full (by 1.6) although the warm-up rate of its service lets a few flows a second reach it, and servers in regions that no route to the service allows. Admission control thus learned of a fall too late, or not at all.

A cold server of a service with a limit now counts as what the limit keeps busy: flows a window of 1.2 s by the lowest duration without load. Own leases don't matter, so that the figure stays while they come and go; it is 0 once requests for leases were unanswered for 1 s. Servers count only in regions that at least one route to the service allows. WarmupRequester::unanswered_since moved to WarmupBudget for this.

AllParts.WithoutAServerCallersAreToldAtOnce expected the 2 slots of a server in a wrong region, as capacity knew no regions; it now expects 0.

--- a/Source/Fleet/WarmupRequests.cc
+++ b/Source/Fleet/WarmupRequests.cc
@@ -60,16 +60,16 @@
                 " leased=" + std::to_string(CountLeasedFlows(budget, now)) +
                 " leader=" + FormatIp(requester.leader)});
   }
-  const bool unanswered = requester.unanswered_since != TimePoint::max() &&
-                          now - requester.unanswered_since > kUnansweredLimit;
+  const bool unanswered = budget.unanswered_since != TimePoint::max() &&
+                          now - budget.unanswered_since > kUnansweredLimit;
   if (unanswered && !requester.unanswered_logged) {
     requester.unanswered_logged = true;
-    records.push_back(LogRecord{.id = EventId::kWarmupLeasesMissing,
-                                .severity = Severity::kWarning,
-                                .text = "leader=" + FormatIp(requester.leader) +
-                                        " unanswered_ms=" +
-                                        std::to_string(MillisecondsBetween(
-                                            requester.unanswered_since, now))});
+    records.push_back(LogRecord{
+        .id = EventId::kWarmupLeasesMissing,
+        .severity = Severity::kWarning,
+        .text =
+            "leader=" + FormatIp(requester.leader) + " unanswered_ms=" +
+            std::to_string(MillisecondsBetween(budget.unanswered_since, now))});
   }
 }
 
@@ -99,10 +99,10 @@
   UpdateColdUntil(placement);
   const std::vector<WarmupDemandItem> demands = TakeWarmupDemand(budget, now);
   if (demands.empty()) {
-    requester.unanswered_since = TimePoint::max();
+    budget.unanswered_since = TimePoint::max();
     return result;
   }
-  requester.unanswered_since = std::min(requester.unanswered_since, now);
+  budget.unanswered_since = std::min(budget.unanswered_since, now);
   LogProblems(requester, budget, now, result.records);
   budget.last_request_at = now;
   if (requester.leader == 0) {
@@ -134,7 +134,7 @@
     return;
   }
   const TimePoint requested_at{Microseconds(grant.echoed_us())};
-  requester.unanswered_since = TimePoint::max();
+  placement.warmup.unanswered_since = TimePoint::max();
   requester.unanswered_logged = false;
   for (const wire::WarmupLease& lease : grant.leases()) {
     const auto server = placement.by_id.find(lease.server());
--- a/Source/Fleet/WarmupRequests.h
+++ b/Source/Fleet/WarmupRequests.h
@@ -15,8 +15,6 @@
 struct WarmupRequester {
   /// The leader, as stated by the latest fresh update; 0: none is known.
   InstanceAddress leader = 0;
-  /// When leases were first requested since the last grant.
-  TimePoint unanswered_since = TimePoint::max();
   bool unanswered_logged = false;
   /// `WarmupCounters::refused` as last logged.
   std::uint64_t logged_refused = 0;
--- a/Source/Forwarding/RouteTable.cc
+++ b/Source/Forwarding/RouteTable.cc
@@ -1,5 +1,8 @@
 #include "Forwarding/RouteTable.h"
 
+#include <set>
+#include <string>
+
 namespace filbertwall {
 namespace {
 
@@ -34,6 +37,28 @@
   }
 }
 
+/// Tells the placement in which regions the routes of each service may use
+/// servers. A route without regions allows all.
+void UpdateServiceRegions(const RouteTable& table, Placement& placement) {
+  const std::size_t services = placement.usable_by_service.size();
+  std::vector<std::set<std::string>> allowed(services);
+  std::vector<bool> everywhere(services, false);
+  for (const auto& [key, entry] : table.routes) {
+    for (const ServiceShare& share : entry.shares) {
+      allowed[share.service].insert(entry.regions.begin(), entry.regions.end());
+      everywhere[share.service] =
+          everywhere[share.service] || entry.regions.empty();
+    }
+  }
+  placement.regions_by_service.assign(services, {});
+  for (std::size_t i = 0; i < services; ++i) {
+    if (!everywhere[i]) {
+      placement.regions_by_service[i].assign(allowed[i].begin(),
+                                             allowed[i].end());
+    }
+  }
+}
+
 /// Replaces the limits on new flows to servers that warm up.
 void ApplyWarmupLimits(const wire::RoutesUpdate& update, Placement& placement) {
   std::vector<WarmupLimit> limits;
@@ -77,6 +102,7 @@
   table.version = update.version();
   ApplyWarmupLimits(update, placement);
   UpdateRoutedServices(table, placement);
+  UpdateServiceRegions(table, placement);
   return true;
 }
 
--- a/Source/Placement/Capacity.h
+++ b/Source/Placement/Capacity.h
@@ -8,8 +8,13 @@
 namespace filbertwall {
 
 /// Returns how many slots at full speed the server is worth: 0 when it is not
-/// answering or its data centre seems unreachable, and fewer than it has while
-/// it warms up or is slow.
+/// answering, its data centre seems unreachable, or no route to its service
+/// allows its region; fewer than it has while it warms up or is slow.
+///
+/// A cold server of a service with a limit on new flows is worth the slots that
+/// these flows keep busy. The leases that this instance holds do not matter,
+/// since the limit holds for all instances together. It is worth nothing while
+/// no leases are granted, and before the duration of flows is known.
 double EffectiveSlots(const Placement& placement, const PlacedServer& server,
                       TimePoint now);
 
--- a/Source/Placement/DataCentreLoad.cc
+++ b/Source/Placement/DataCentreLoad.cc
@@ -139,6 +139,21 @@
   return Combine(meter->mean_ms / unloaded_ms, flows, long_term);
 }
 
+Microseconds UnloadedDuration(const DataCentreLoads& loads,
+                              std::uint32_t service) {
+  double shortest_ms = 0;
+  if (service < loads.meters.size()) {
+    for (const LoadMeter& meter : loads.meters[service]) {
+      const bool shorter =
+          meter.unloaded_ms > 0 &&
+          (shortest_ms == 0 || meter.unloaded_ms < shortest_ms);
+      shortest_ms = shorter ? meter.unloaded_ms : shortest_ms;
+    }
+  }
+  return std::chrono::round<Microseconds>(
+      std::chrono::duration<double, std::milli>(shortest_ms));
+}
+
 double DivertedShare(double load, double least_load) {
   return std::max(0.0, ShareByLoad(load) - ShareByLoad(least_load));
 }
--- a/Source/Placement/DataCentreLoad.h
+++ b/Source/Placement/DataCentreLoad.h
@@ -45,6 +45,11 @@
 double LoadOf(const DataCentreLoads& loads, std::uint32_t service,
               std::uint32_t data_centre, TimePoint now);
 
+/// Returns the mean duration without load at the data centre of the service
+/// where it is shortest; 0 when it is not known.
+Microseconds UnloadedDuration(const DataCentreLoads& loads,
+                              std::uint32_t service);
+
 /// Returns the share of the new flows of a data centre with the load `load`, 0
 /// to 0.9, that are to go to others. `least_load` is the load of the least
 /// loaded data centre: nothing is diverted when all are equally loaded.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -93,15 +93,6 @@
   return index;
 }
 
-/// Returns whether the route of the flow allows servers of the data centre.
-bool IsAllowed(const PlacementRequest& flow,
-               const PlacedDataCentre& data_centre) {
-  return flow.regions.empty() ||
-         (!data_centre.region.empty() &&
-          std::find(flow.regions.begin(), flow.regions.end(),
-                    data_centre.region) != flow.regions.end());
-}
-
 /// Returns whether a new flow may be sent to the server: always, unless it is
 /// cold and its service has a limit (`limit` is not null).
 bool MayTakeFlow(const Placement& placement, ServerIndex index,
@@ -147,7 +138,7 @@
   const PlacedServer& server = placement.servers[failing[draw]];
   const bool may_probe =
       !IsAvoided(server, now) &&
-      IsAllowed(flow, placement.data_centres[server.data_centre]) &&
+      IsInRegions(flow.regions, placement.data_centres[server.data_centre]) &&
       MayTakeFlow(placement, failing[draw], limit, now);
   return may_probe ? std::optional(failing[draw]) : std::nullopt;
 }
@@ -192,7 +183,7 @@
     const PlacedServer& server = placement.servers[index];
     const PlacedDataCentre& data_centre =
         placement.data_centres[server.data_centre];
-    if (!IsAllowed(flow, data_centre)) {
+    if (!IsInRegions(flow.regions, data_centre)) {
       continue;
     }
     double cost = CostOf(placement, server, now) +
@@ -377,6 +368,21 @@
   }
 }
 
+bool IsInRegions(std::span<const std::string> regions,
+                 const PlacedDataCentre& data_centre) {
+  return regions.empty() || (!data_centre.region.empty() &&
+                             std::find(regions.begin(), regions.end(),
+                                       data_centre.region) != regions.end());
+}
+
+std::span<const std::string> RegionsOf(const Placement& placement,
+                                       ServiceIndex service) {
+  return service < placement.regions_by_service.size()
+             ? std::span<const std::string>(
+                   placement.regions_by_service[service])
+             : std::span<const std::string>();
+}
+
 bool IsCold(const Placement& placement, const PlacedServer& server,
             const WarmupLimit& limit, TimePoint now) {
   const TimePoint returned_at =
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -123,6 +123,9 @@
   /// Whether a route names the service, by service. Empty before the first
   /// rules.
   std::vector<bool> routed_by_service;
+  /// Regions that at least one route to the service allows, by service; empty
+  /// or missing: all.
+  std::vector<std::vector<std::string>> regions_by_service;
   /// Moving average of flow durations by service; 0 without a measurement.
   std::vector<double> mean_duration_ms_by_service;
   /// Limits on new flows to cold servers, and the leases held on them.
@@ -181,6 +184,15 @@
   std::span<const std::string> regions;
 };
 
+/// Returns whether servers of the data centre may be chosen if only those in
+/// `regions` may; empty: all.
+bool IsInRegions(std::span<const std::string> regions,
+                 const PlacedDataCentre& data_centre);
+
+/// Returns the regions of `Placement::regions_by_service`; empty: all.
+std::span<const std::string> RegionsOf(const Placement& placement,
+                                       ServiceIndex service);
+
 /// Returns whether the server warms up or its data centre has returned lately.
 /// Precondition: `limit` is that of the server's service.
 bool IsCold(const Placement& placement, const PlacedServer& server,
--- a/Source/Warmup/WarmupBudget.cc
+++ b/Source/Warmup/WarmupBudget.cc
@@ -35,6 +35,7 @@
     budget.limits.clear();
     budget.demands.clear();
     budget.next_request_at = TimePoint::max();
+    budget.unanswered_since = TimePoint::max();
     return;
   }
   budget.demands.resize(limits.size());
@@ -123,6 +124,11 @@
   return items;
 }
 
+bool LacksWarmupGrants(const WarmupBudget& budget, TimePoint now) {
+  return budget.unanswered_since != TimePoint::max() &&
+         now >= budget.unanswered_since + budget.timing.lease;
+}
+
 std::uint64_t CountLeasedFlows(const WarmupBudget& budget, TimePoint now) {
   std::uint64_t total = 0;
   for (const auto& [server, lease] : budget.servers) {
--- a/Source/Warmup/WarmupBudget.h
+++ b/Source/Warmup/WarmupBudget.h
@@ -56,6 +56,9 @@
   TimePoint demand_taken_at;  ///< Last `TakeWarmupDemand`.
   /// `TimePoint::max()` when no service has a limit.
   TimePoint next_request_at = TimePoint::max();
+  /// When leases were first requested since the last grant; `TimePoint::max()`:
+  /// not since then.
+  TimePoint unanswered_since = TimePoint::max();
   WarmupCounters counters;
 };
 
@@ -106,6 +109,12 @@
 std::vector<WarmupDemandItem> TakeWarmupDemand(WarmupBudget& budget,
                                                TimePoint now);
 
+/// Returns whether requests have been unanswered for as long as a lease is
+/// valid. This instance then holds no lease, and does not know of a leader that
+/// grants any. An instance whose request was answered without a lease does not
+/// lack grants: others hold the leases.
+bool LacksWarmupGrants(const WarmupBudget& budget, TimePoint now);
+
 /// Returns the flows a second of all valid leases.
 std::uint64_t CountLeasedFlows(const WarmupBudget& budget, TimePoint now);
 
--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -408,6 +408,42 @@
   CHECK_EQUAL(before, test.lease_messages);
 }
 
+// Guards against a capacity told to admission control that changes with the
+// leases of an instance, and against one that counts what nobody may use.
+TEST(Warmup, CapacityFollowsTheLimitAndNotTheOwnLeases) {
+  WarmupWorld test = MakeWarmupWorld(3, 4, 4, 30);
+  for (auto& [id, entry] : test.world.entries) {
+    entry.forwarder.placement.config.balance_by_load = true;
+  }
+  RunWithFlows(test, Milliseconds(3000));
+  RestartServers(test, 0, 4);
+  RunWithFlows(test, Milliseconds(1000));
+  double lowest = std::numeric_limits<double>::infinity();
+  double highest = 0;
+  bool without_lease = false;
+  test.plant = [&](WarmupWorld& world) {
+    for (const auto& [id, entry] : world.world.entries) {
+      const double slots =
+          entry.forwarder.admission.services[0].capacity.effective_slots;
+      lowest = std::min(lowest, slots);
+      highest = std::max(highest, slots);
+      without_lease =
+          without_lease || CountLeasedFlows(entry.forwarder.placement.warmup,
+                                            world.world.now) == 0;
+    }
+  };
+  test.flows_per_second[101] = 300;
+  RunWithFlows(test, Milliseconds(3000));
+  CHECK_TRUE(without_lease);
+  CHECK_TRUE(lowest > 0);
+  CHECK_TRUE(highest < 1.05 * lowest);
+  // 4 servers, 3 flows of 40 ms in 1.2 s each.
+  DOUBLES_EQUAL(4 * 3 * 0.04 / 1.2, highest, 0.05);
+  StopInstance(test, FindLeader(test.world));
+  RunWithFlows(test, Milliseconds(2500));
+  DOUBLES_EQUAL(0, lowest, 0);
+}
+
 // Guards against messages and limits for services without a rate.
 TEST(Warmup, WithoutALimitNothingIsLimitedOrSent) {
   WarmupWorld test = MakeWarmupWorld(3, 2, 2, 100, "warmup=8s warmup-rate=0.0");
--- a/Tests/Forwarding/AllPartsTest.cc
+++ b/Tests/Forwarding/AllPartsTest.cc
@@ -154,10 +154,43 @@
   CHECK(decision.reason == ForwardReason::kNoServerInRegion);
   const ServiceIndex service =
       this->forwarder.placement.services.at("catalogue");
-  DOUBLES_EQUAL(2, CapacityOf(this->forwarder.placement, service, kStart),
-                0.001);  // That of e5; capacity knows no regions.
+  // e5 is in the wrong region.
+  DOUBLES_EQUAL(0, CapacityOf(this->forwarder.placement, service, kStart), 0);
   SetEvacuated(this->forwarder.placement, {"n1", "n2", "s1"}, kStart);
   RefreshUsable(this->forwarder.placement);
   CHECK(this->Open(kStart).reason == ForwardReason::kNoServer);
   DOUBLES_EQUAL(0, CapacityOf(this->forwarder.placement, service, kStart), 0);
 }
+
+/// Guards against capacity of a service that counts servers which no route may
+/// use, or leaves out those which some route may.
+TEST(AllParts, CapacityCountsTheRegionsOfAllRoutes) {
+  const ServiceIndex service =
+      this->forwarder.placement.services.at("catalogue");
+  // d4, and c3 by its speed; b2 is cold, and no duration is known.
+  constexpr double kNorth = 2.4;
+  const auto capacity = [&] {
+    return CapacityOf(this->forwarder.placement, service, kStart);
+  };
+  DOUBLES_EQUAL(kNorth, capacity(), 0.001);
+  wire::RoutesUpdate update = MakeRoutes();
+  const auto apply = [&] {
+    update.set_base_version(update.version());
+    update.set_version(update.version() + 1);
+    CHECK(
+        ApplyRoutes(this->forwarder.routes, update, this->forwarder.placement));
+  };
+  wire::Route& second = *update.mutable_set(0);
+  second.set_port(kAddress.port + 1);
+  second.mutable_regions()->Clear();
+  second.add_regions("south");
+  apply();
+  DOUBLES_EQUAL(kNorth + 2, capacity(), 0.001);
+  second.mutable_regions()->Clear();
+  second.add_regions("north");
+  apply();
+  DOUBLES_EQUAL(kNorth, capacity(), 0.001);
+  second.mutable_regions()->Clear();
+  apply();
+  DOUBLES_EQUAL(kNorth + 2, capacity(), 0.001);
+}
--- a/Tests/Placement/BalanceTest.cc
+++ b/Tests/Placement/BalanceTest.cc
@@ -236,6 +236,20 @@
     UpdateServer(this->placement, record, kStart);
     RefreshUsable(this->placement);
   }
+
+  /// Adds a warm server here and a cold one there, of a service whose flows
+  /// take 30 ms and whose cold servers get 20 flows a second at most.
+  void AddWarmAndCold() {
+    this->Add(MakeRecord(0, "here"));
+    wire::ServerRecord cold = MakeRecord(1, "there");
+    cold.set_warmup_ms(5000);
+    this->Add(cold);
+    SetWarmupLimits(this->placement.warmup,
+                    {{.duration = Milliseconds(5000), .flows_per_second = 20}});
+    for (int i = 0; i < 50; ++i) {
+      RecordLoad(this->placement.loads, 0, 0, Milliseconds(30), kStart);
+    }
+  }
 };
 
 /// Admission control would admit too much if servers that are slow, cold, lost
@@ -269,6 +283,67 @@
                 0.001);
 }
 
+/// A cold server that counts in full makes admission control admit flows that
+/// its limit refuses.
+TEST(Capacity, AColdServerOfALimitedServiceCountsAsItsLimit) {
+  this->AddWarmAndCold();
+  const double limited = 20 * 30 / 1200.0;
+  DOUBLES_EQUAL(2 + limited, CapacityOf(this->placement, 0, kStart), 0.001);
+  DOUBLES_EQUAL(4, CapacityOf(this->placement, 0, kStart + Milliseconds(5000)),
+                0.001);
+  // A server is worth no more than its slots.
+  SetWarmupLimits(this->placement.warmup,
+                  {{.duration = Milliseconds(5000), .flows_per_second = 1000}});
+  DOUBLES_EQUAL(2 + 2 / kWarmupFactor, CapacityOf(this->placement, 0, kStart),
+                0.001);
+}
+
+/// Queues lengthen the flows, and add no capacity.
+TEST(Capacity, TheLimitIsNotWorthMoreUnderLoad) {
+  this->AddWarmAndCold();
+  const double before = CapacityOf(this->placement, 0, kStart);
+  for (int i = 0; i < 50; ++i) {
+    RecordLoad(this->placement.loads, 0, 0, Milliseconds(120), kStart);
+    RecordLoad(this->placement.loads, 0, 1, Milliseconds(120), kStart);
+  }
+  DOUBLES_EQUAL(before, CapacityOf(this->placement, 0, kStart), 0.001);
+}
+
+/// Without a measured duration the worth of a limit is not known; the lower
+/// bound keeps the warm servers.
+TEST(Capacity, ALimitCountsNothingBeforeTheDurationIsKnown) {
+  this->AddWarmAndCold();
+  this->placement.loads = {};
+  DOUBLES_EQUAL(2, CapacityOf(this->placement, 0, kStart), 0.001);
+}
+
+/// The limit holds for all instances together. If only own leases counted, the
+/// capacity would change with each grant.
+TEST(Capacity, OwnLeasesDoNotMatter) {
+  this->AddWarmAndCold();
+  WarmupBudget& budget = this->placement.warmup;
+  const double without = CapacityOf(this->placement, 0, kStart);
+  TakeWarmupLease(budget, 1, 1, 20, kStart, kStart);
+  DOUBLES_EQUAL(without, CapacityOf(this->placement, 0, kStart), 0);
+  const TimePoint expired = kStart + budget.timing.lease;
+  DOUBLES_EQUAL(without, CapacityOf(this->placement, 0, expired), 0);
+}
+
+/// Without a leader that grants leases, nobody may use the cold servers.
+TEST(Capacity, ALimitCountsNothingWithoutGrants) {
+  this->AddWarmAndCold();
+  WarmupBudget& budget = this->placement.warmup;
+  const double before = CapacityOf(this->placement, 0, kStart);
+  budget.unanswered_since = kStart;
+  const TimePoint lacking = kStart + budget.timing.lease;
+  // A lost message does not count.
+  DOUBLES_EQUAL(before,
+                CapacityOf(this->placement, 0, lacking - Milliseconds(1)), 0);
+  DOUBLES_EQUAL(2, CapacityOf(this->placement, 0, lacking), 0);
+  budget.unanswered_since = TimePoint::max();
+  DOUBLES_EQUAL(before, CapacityOf(this->placement, 0, lacking), 0);
+}
+
 TEST(Capacity, AnUnknownServiceHasNone) {
   DOUBLES_EQUAL(0, CapacityOf(this->placement, 7, kStart), 0);
 }
