Fleet: Ask a control instance that has restarted for changes at once

A control instance that restarts has no subscribers until the others ask it in their turn, up to a second later.

A control instance now answers the first request of another one with a request of its own.

--- a/Source/Fleet/Subscriptions.cc
+++ b/Source/Fleet/Subscriptions.cc
@@ -62,6 +62,21 @@
   }
 }
 
+/// Asks another control instance for the changes that are not known here.
+void SubscribeTo(ControlContext& context, InstanceAddress other) {
+  const RegistrySource* source = AddSource(context, other);
+  const RegistryPosition position =
+      source == nullptr ? RegistryPosition{} : source->position;
+  wire::FleetMessage message;
+  wire::Subscribe& subscribe = *message.mutable_subscribe();
+  subscribe.set_control(true);
+  subscribe.set_registry_epoch(position.epoch);
+  subscribe.set_registry_change(position.change);
+  *subscribe.mutable_knowledge() = BuildRulesStatus(context.instance);
+  context.effects.emplace_back(
+      SendMessage{.to = other, .message = std::move(message)});
+}
+
 /// Answers a request for all changes after the versions that the sender has.
 void AnswerSubscribe(ControlContext& context, InstanceAddress from,
                      const wire::Subscribe& subscribe) {
@@ -72,7 +87,10 @@
   // it says nothing about which records the sender has.
   const bool impossible =
       known_epoch && subscribe.registry_change() > instance.registry.change;
+  const bool is_new = !instance.subscribers.contains(from);
   Subscriber& subscriber = instance.subscribers[from];
+  const bool has_restarted =
+      is_new || (!known_epoch && subscriber.registry_change > 0);
   const std::uint64_t change =
       known_epoch && !impossible ? subscribe.registry_change() : 0;
   const bool is_confirmation =
@@ -83,6 +101,11 @@
                           .rules_wanted = subscribe.rules_wanted(),
                           .heard_at = context.now,
                           .heard_list_sent_at = subscriber.heard_list_sent_at};
+  if (subscribe.control() && has_restarted) {
+    // It has no subscribers yet. Servers may report to it at once, and it sends
+    // their changes to subscribers only.
+    SubscribeTo(context, from);
+  }
   AnswerPendingReports(context);
   const bool complete = change == instance.registry.change;
   if (subscribe.control() && is_confirmation && complete) {
@@ -100,17 +123,7 @@
   for (const InstanceAddress other :
        OtherControlInstances(instance, context.now)) {
     AddJoinAddress(context, other);
-    const RegistrySource* source = AddSource(context, other);
-    const RegistryPosition position =
-        source == nullptr ? RegistryPosition{} : source->position;
-    wire::FleetMessage message;
-    wire::Subscribe& subscribe = *message.mutable_subscribe();
-    subscribe.set_control(true);
-    subscribe.set_registry_epoch(position.epoch);
-    subscribe.set_registry_change(position.change);
-    *subscribe.mutable_knowledge() = BuildRulesStatus(instance);
-    context.effects.emplace_back(
-        SendMessage{.to = other, .message = std::move(message)});
+    SubscribeTo(context, other);
   }
 }
 
