Warmup: Bound what an entry instance out of contact adds

An entry instance without contact to its control instance can't hear that a server has started again under the same id, took it for a warm one, and sent it its usual share of the flows.

The servers of an entry instance now count as confirmed until the answer to its next poll is overdue by 100 ms. While they are not, it sends to each server of a service with a warm-up rate one flow in 1.2 s at most, and chooses others otherwise; the flows for which none is left are counted (kind "unconfirmed"). Services without a rate, and instances in contact, decide as before.

RandomHistoriesKeepTheLimit now restarts servers while an instance is cut off, too, and allows one flow more then.

--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -141,6 +141,11 @@
     ChoosePrimary(context, from, source);
     if (from == instance.primary) {
       instance.primary_fresh_at = context.now;
+      // After a stall, updates that have waited meanwhile confirm nothing.
+      if (context.now >= instance.forwarder.discard_openings_until) {
+        ConfirmServers(instance.forwarder.placement.warmup, source.position,
+                       update, instance.next_poll_at, context.now);
+      }
     }
   }
   if (MayConfirm(source.position, update)) {
@@ -237,6 +242,7 @@
       .seed = config.incarnation,
       .regions = config.regions,
       .balance_by_load = config.balance_by_load};
+  instance.forwarder.placement.warmup.confirmed_until = {};
   ConfigureAdmission(instance.forwarder, config);
   return instance;
 }
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -118,6 +118,8 @@
              "placed");
   AddCounter(samples, "warmup_flows_total", help, budget.counters.refused,
              "refused");
+  AddCounter(samples, "warmup_flows_total", help, budget.counters.unconfirmed,
+             "unconfirmed");
   AddGauge(samples, "warmup_leased_flows",
            "New flows a second to cold servers that valid leases allow here.",
            static_cast<double>(CountLeasedFlows(budget, now)));
--- a/Source/Fleet/WarmupRequests.cc
+++ b/Source/Fleet/WarmupRequests.cc
@@ -11,6 +11,10 @@
 /// after it take up to about 3 s.
 constexpr Milliseconds kUnansweredLimit{4000};
 
+/// An answer to a poll that takes longer than this counts as missing. The usual
+/// one takes a few milliseconds.
+constexpr Milliseconds kPollAnswerTimeout{100};
+
 std::int64_t ToMicroseconds(TimePoint time) {
   return std::chrono::duration_cast<Microseconds>(time.time_since_epoch())
       .count();
@@ -86,6 +90,17 @@
   }
 }
 
+void ConfirmServers(WarmupBudget& budget, const RegistryPosition& position,
+                    const wire::Update& update, TimePoint next_poll_at,
+                    TimePoint now) {
+  const bool complete = update.registry_epoch() != 0 && !update.partial() &&
+                        update.registry_epoch() == position.epoch &&
+                        update.registry_change() <= position.change;
+  if (complete) {
+    budget.confirmed_until = std::max(now, next_poll_at) + kPollAnswerTimeout;
+  }
+}
+
 WarmupRequestResult RequestWarmupLeases(WarmupRequester& requester,
                                         Placement& placement,
                                         std::uint64_t incarnation,
--- a/Source/Fleet/WarmupRequests.h
+++ b/Source/Fleet/WarmupRequests.h
@@ -31,6 +31,15 @@
 void PrepareWarmupRequest(Placement& placement, bool servers_changed,
                           TimePoint now);
 
+/// Notes that an update of the primary holds all changes of its servers up to
+/// now: the servers are confirmed until the answer to the next poll is overdue.
+/// Does nothing if the update lacks some. Preconditions: the update is fresh,
+/// and `position` is the one after it; `next_poll_at` is when the primary is
+/// polled next.
+void ConfirmServers(WarmupBudget& budget, const RegistryPosition& position,
+                    const wire::Update& update, TimePoint next_poll_at,
+                    TimePoint now);
+
 /// Builds the request for leases if it is due, and there are cold servers and
 /// demand. `incarnation` is that of this instance.
 WarmupRequestResult RequestWarmupLeases(WarmupRequester& requester,
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -93,25 +93,29 @@
   return index;
 }
 
-/// Returns whether a new flow may be sent to the server: always, unless it is
-/// cold and its service has a limit (`limit` is not null).
+/// Returns whether a new flow may be sent to the server: always, unless its
+/// service has a limit (`limit` is not null) and it is cold, or may be.
 bool MayTakeFlow(const Placement& placement, ServerIndex index,
                  const WarmupLimit* limit, TimePoint now) {
   if (limit == nullptr) {
     return true;
   }
   const PlacedServer& server = placement.servers[index];
-  return !IsCold(placement, server, *limit, now) ||
-         HasWarmupBudget(placement.warmup, index, server.incarnation, now);
+  return IsCold(placement, server, *limit, now)
+             ? HasWarmupBudget(placement.warmup, index, server.incarnation, now)
+             : MayBeSentFlow(placement.warmup, index, now);
 }
 
 /// Records that a new flow is sent to the server.
 void RecordWarmupFlow(Placement& placement, ServerIndex index,
                       const WarmupLimit* limit, TimePoint now) {
-  if (limit != nullptr &&
-      IsCold(placement, placement.servers[index], *limit, now)) {
+  if (limit == nullptr) {
+    return;
+  }
+  if (IsCold(placement, placement.servers[index], *limit, now)) {
     SpendWarmupBudget(placement.warmup, index, now);
   }
+  RecordLastFlow(placement.warmup, index, now);
 }
 
 /// Returns a failing server for a small random share of the flows whose
@@ -149,7 +153,7 @@
 
 struct Cheapest {
   std::optional<ServerIndex> server;  ///< Empty when none may take the flow.
-  /// Whether a cold server was left out for lack of budget.
+  /// Whether a server was left out that is cold, or may be.
   bool lacks_budget = false;
 };
 
@@ -421,7 +425,11 @@
     ScheduleWarmupRequest(placement.warmup, kWarmupRequestInterval, now);
   }
   if (!cheapest.server) {
-    placement.warmup.counters.refused += cheapest.lacks_budget ? 1 : 0;
+    WarmupCounters& counters = placement.warmup.counters;
+    std::uint64_t& counter = now < placement.warmup.confirmed_until
+                                 ? counters.refused
+                                 : counters.unconfirmed;
+    counter += cheapest.lacks_budget ? 1 : 0;
     return std::nullopt;
   }
   const ServerIndex best = *cheapest.server;
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -203,7 +203,8 @@
 /// other servers are avoided. A failing server still gets a few flows whose
 /// requests may be retried, so that its recovery can be detected. A cold server
 /// of a service with a limit is chosen only within the budget of
-/// `placement.warmup`, and that is spent.
+/// `placement.warmup`, and that is spent. So is a warm one, once in each
+/// window, while the servers are not confirmed.
 std::optional<ServerIndex> ChooseServer(Placement& placement,
                                         const PlacementRequest& flow,
                                         TimePoint now);
--- a/Source/Warmup/WarmupBudget.cc
+++ b/Source/Warmup/WarmupBudget.cc
@@ -73,6 +73,13 @@
   budget.counters.placed += 1;
 }
 
+void RecordLastFlow(WarmupBudget& budget, std::uint32_t server, TimePoint now) {
+  if (server >= budget.last_flow_at.size()) {
+    budget.last_flow_at.resize(server + 1);
+  }
+  budget.last_flow_at[server] = now;
+}
+
 void RecordWarmupDemand(WarmupBudget& budget, std::uint32_t service,
                         TimePoint now) {
   WarmupServiceDemand& demand = budget.demands[service];
--- a/Source/Warmup/WarmupBudget.h
+++ b/Source/Warmup/WarmupBudget.h
@@ -43,7 +43,9 @@
 struct WarmupCounters {
   std::uint64_t placed = 0;   ///< Flows sent to cold servers.
   std::uint64_t refused = 0;  ///< Flows for which only cold servers were left.
-  std::uint64_t leases = 0;   ///< Received and valid.
+  /// Flows refused while the servers were not confirmed.
+  std::uint64_t unconfirmed = 0;
+  std::uint64_t leases = 0;  ///< Received and valid.
 };
 
 struct WarmupBudget {
@@ -52,6 +54,12 @@
   std::vector<WarmupLimit> limits;
   std::vector<WarmupServiceDemand> demands;  ///< By service, as `limits`.
   std::unordered_map<std::uint32_t, WarmupServerBudget> servers;
+  /// Until then no start of a server can have been missed. `TimePoint::max()`
+  /// without control instances to hear of it from.
+  TimePoint confirmed_until = TimePoint::max();
+  /// The latest flow to each server of a service with a limit, by server.
+  /// Shorter before the first one.
+  std::vector<TimePoint> last_flow_at;
   TimePoint last_request_at;
   TimePoint demand_taken_at;  ///< Last `TakeWarmupDemand`.
   /// `TimePoint::max()` when no service has a limit.
@@ -89,6 +97,19 @@
 void SpendWarmupBudget(WarmupBudget& budget, std::uint32_t server,
                        TimePoint now);
 
+/// Returns whether a flow may be sent now to a server that is not known to be
+/// cold, of a service with a limit: always while the servers are confirmed, and
+/// otherwise one in each window, since the server may have started unheard.
+inline bool MayBeSentFlow(const WarmupBudget& budget, std::uint32_t server,
+                          TimePoint now) {
+  return now < budget.confirmed_until || server >= budget.last_flow_at.size() ||
+         budget.last_flow_at[server] + budget.timing.window <= now;
+}
+
+/// Records that a flow is sent to a server of a service with a limit, cold or
+/// not.
+void RecordLastFlow(WarmupBudget& budget, std::uint32_t server, TimePoint now);
+
 /// Records a new flow of a service with a limit.
 void RecordWarmupDemand(WarmupBudget& budget, std::uint32_t service,
                         TimePoint now);
--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -23,6 +23,10 @@
 /// until all entry instances have heard of the new one.
 constexpr Milliseconds kAnnouncementTime{300};
 
+/// An entry instance notices within this time that it is cut off, also when the
+/// control instance that it follows is cut off with it.
+constexpr Milliseconds kContactLossTime{1000};
+
 /// One start of a backend server.
 struct EmulatedServer {
   std::string service = "proof";
@@ -385,6 +389,15 @@
   RunWithFlows(test, Milliseconds(5000));
 }
 
+/// A history in which an entry instance is cut off, and all servers restart
+/// once it has noticed: breaks the limit when it sends its usual flows.
+void RestartServersUnheard(WarmupWorld& test) {
+  CutOff(test, {101});
+  RunWithFlows(test, kContactLossTime);
+  RestartServers(test, 0, static_cast<int>(test.servers.size()));
+  RunWithFlows(test, Milliseconds(4000));
+}
+
 }  // namespace
 
 TEST_GROUP(Warmup){};
@@ -564,6 +577,61 @@
   CHECK_TRUE(CountLimitedFlows(test) >= 20);
 }
 
+// Guards against an instance that sends its usual flows to a server of whose
+// start it can't hear.
+TEST(Warmup, AnInstanceOutOfContactAddsOneFlowToTheLimit) {
+  WarmupWorld test = MakeWarmupWorld(3, 3, 2, 40);
+  RestartServersUnheard(test);
+  CHECK_TRUE(MaxFlowsInASecond(test) <= kLimit + 1);
+  CHECK_TRUE(CountLimitedFlows(test) >= 12);
+}
+
+// Guards against refusals by an instance out of contact at the usual load, and
+// against a limit on services that have no rate.
+TEST(Warmup, AnInstanceOutOfContactServesItsCallers) {
+  for (const bool limited : {true, false}) {
+    WarmupWorld test = MakeWarmupWorld(3, 3, 20, limited ? 10 : 200,
+                                       limited ? kLimitOptions : "warmup=8s");
+    CutOff(test, {101, 102, 103});
+    RunWithFlows(test, Milliseconds(5000));
+    CHECK_EQUAL(0U, test.refused);
+    Reconnect(test);
+    RunWithFlows(test, Milliseconds(1500));
+    for (auto& [id, rate] : test.flows_per_second) {
+      rate = 200;
+    }
+    RunWithFlows(test, Milliseconds(1000));
+    CHECK_EQUAL(0U, test.refused);
+  }
+}
+
+// Guards against a control instance that restarts and passes nothing on until
+// the others ask it in their turn, up to a second later.
+TEST(Warmup, AControlInstanceThatRestartedPassesStartsOnAtOnce) {
+  for (int wait_ms = 0; wait_ms < 1000; wait_ms += 95) {
+    WarmupWorld test = MakeWarmupWorld(5, 5, 5, 1);
+    RunWithFlows(test, Milliseconds(wait_ms));
+    StopInstance(test, 3);
+    for (auto& [id, server] : test.servers) {
+      server.running = false;
+    }
+    RunWithFlows(test, Milliseconds(600));
+    StartControl(test.world, 3, false);
+    while (!test.world.controls.at(3).in_sync) {
+      Run(test.world, kStep);
+    }
+    for (int i = 0; i < 5; ++i) {
+      StartServer(test, ServerId(i));
+    }
+    Run(test.world, Milliseconds(60));
+    for (const auto& [id, entry] : test.world.entries) {
+      for (const PlacedServer& server : entry.forwarder.placement.servers) {
+        CHECK_EQUAL(test.servers.at(server.id).incarnation, server.incarnation);
+      }
+    }
+  }
+}
+
 // Guards against a new leader that leases what the old one has leased.
 TEST(Warmup, ANewLeaderWaitsForTheLeasesOfTheOldOne) {
   WarmupWorld test = MakeWarmupWorld(3, 4, 2, 100);
@@ -630,6 +698,29 @@
   CHECK_EQUAL(0U, test.refused);
 }
 
+// Guards against an update that lacks a change, or states none, and is taken
+// for the whole view.
+TEST(Warmup, OnlyACompleteUpdateConfirmsTheServers) {
+  const TimePoint now{std::chrono::hours(1)};
+  const RegistryPosition position{.epoch = 7, .change = 20};
+  const auto is_confirmed = [&](std::uint64_t epoch, std::uint64_t change,
+                                bool partial) {
+    wire::Update update;
+    update.set_registry_epoch(epoch);
+    update.set_registry_change(change);
+    update.set_partial(partial);
+    WarmupBudget budget{.confirmed_until = TimePoint()};
+    RecordLastFlow(budget, 3, now);
+    ConfirmServers(budget, position, update, now + Milliseconds(400), now);
+    return MayBeSentFlow(budget, 3, now);
+  };
+  CHECK_TRUE(is_confirmed(7, 20, false));
+  CHECK_FALSE(is_confirmed(0, 0, false));
+  CHECK_FALSE(is_confirmed(6, 20, false));
+  CHECK_FALSE(is_confirmed(7, 21, false));
+  CHECK_FALSE(is_confirmed(7, 20, true));
+}
+
 // Guards against grants that are damaged, or were meant for an earlier life of
 // the instance.
 TEST(Warmup, GrantsWithOddTimesOrOfAnEarlierLifeAreIgnored) {
@@ -662,7 +753,8 @@
   CHECK_EQUAL(3U, apply(now_us, 7));
 }
 
-// Guards against combinations of the failures above.
+// Guards against combinations of the failures above. The instance that is cut
+// off adds one flow, and so do those that follow the same control instance.
 TEST(Warmup, RandomHistoriesKeepTheLimit) {
   for (std::uint32_t seed = 1; seed <= 6; ++seed) {
     WarmupWorld test = MakeWarmupWorld(5, 5, 6, 60);
@@ -672,14 +764,17 @@
       return static_cast<std::uint32_t>(test.random() % limit);
     };
     bool cut = false;
+    TimePoint cut_at;
+    std::size_t restarts_while_cut = 0;
     for (int step = 0; step < 25; ++step) {
       const InstanceAddress entry = 101 + draw(5);
       const InstanceAddress control = 1 + draw(5);
       switch (draw(7)) {
         case 0:
-          // An instance that is cut off can't know that a server has started,
-          // so nothing starts then, nor is anything cut off before all know.
-          if (!cut) {
+          // Nothing is cut off before all know that a server has started, and
+          // nothing starts before an instance knows that it is cut off.
+          if (!cut || test.world.now - cut_at >= kContactLossTime) {
+            restarts_while_cut += cut ? 1 : 0;
             RestartServers(test, static_cast<int>(draw(5)), 2);
             RunWithFlows(test, kAnnouncementTime);
           }
@@ -704,6 +799,7 @@
           if (test.frozen.empty()) {
             CutOff(test, {entry, control});
             cut = true;
+            cut_at = test.world.now;
           }
           break;
         case 5:
@@ -720,7 +816,8 @@
       }
       RunWithFlows(test, Milliseconds(draw(700)));
     }
-    CHECK_TRUE(MaxFlowsInASecond(test) <= kLimit);
+    const std::size_t unheard = restarts_while_cut > 0 ? 1 : 0;
+    CHECK_TRUE(MaxFlowsInASecond(test) <= kLimit + unheard);
   }
 }
 
@@ -768,6 +865,17 @@
   CHECK_TRUE(MaxFlowsInASecond(test) > kLimit);
 }
 
+TEST(Warmup, PlantedInstanceThatTrustsAnOldViewIsReported) {
+  WarmupWorld test = MakeWarmupWorld(3, 3, 2, 40);
+  test.plant = [](WarmupWorld& world) {
+    for (auto& [id, entry] : world.world.entries) {
+      entry.forwarder.placement.warmup.confirmed_until = TimePoint::max();
+    }
+  };
+  RestartServersUnheard(test);
+  CHECK_TRUE(MaxFlowsInASecond(test) > kLimit + 1);
+}
+
 TEST(Warmup, PlantedLeaderThatHoldsNoLeaseIsReported) {
   WarmupWorld test = MakeWarmupWorld(3, 4, 4, 100);
   for (auto& [id, control] : test.world.controls) {
--- a/Tests/Warmup/WarmupBudgetTest.cc
+++ b/Tests/Warmup/WarmupBudgetTest.cc
@@ -82,6 +82,19 @@
   CHECK_FALSE(this->Send(kStart + Milliseconds(2000)));
 }
 
+// Guards against more than one flow in a window to a server that may have
+// started unheard, and against a limit while its state is confirmed.
+TEST(WarmupBudget, AnUnconfirmedServerGetsOneFlowAWindow) {
+  const TimePoint sent = kStart + Milliseconds(300);
+  this->budget.confirmed_until = sent + Milliseconds(1);
+  RecordLastFlow(this->budget, kServer, sent);
+  CHECK_TRUE(MayBeSentFlow(this->budget, kServer, sent));
+  CHECK_FALSE(MayBeSentFlow(this->budget, kServer, sent + Milliseconds(1)));
+  CHECK_FALSE(MayBeSentFlow(this->budget, kServer, sent + Milliseconds(1199)));
+  CHECK_TRUE(MayBeSentFlow(this->budget, kServer, sent + Milliseconds(1200)));
+  CHECK_TRUE(MayBeSentFlow(this->budget, kServer + 1, sent + Milliseconds(1)));
+}
+
 // Guards against reordered grants: an older, larger one must not replace a
 // newer one on which the leader counts.
 TEST(WarmupBudget, AnEarlierLeaseDoesNotReplaceALaterOne) {
