Admission, Placement, Warmup: Say why, for reports

Cause: an explanation of a decision must use the functions that decide, and these returned only the outcome or were private.

Change: DecideAdmission returns the reason, the share and the expected duration beside what Admit returns. WarmupAllowanceOf counts what is left of a lease; a test compares it with HasWarmupBudget. No decision changes.

--- a/Source/Admission/Admission.cc
+++ b/Source/Admission/Admission.cc
@@ -330,15 +330,6 @@
          kDrawRange;
 }
 
-/// Why a flow is admitted or refused.
-enum class AdmissionReason {
-  kWithinShare,
-  kNoneInFlight,
-  kStarved,  ///< Nothing of the class was admitted for `kMaxStarvation`.
-  kRefused,
-  kUnfair,  ///< Refused: the caller asks for more than its fair level.
-};
-
 /// Whether a flow is admitted whatever its share. An instance without flows in
 /// flight does not contribute to the overload, and if it refused every flow, it
 /// could not detect the end of the overload. When the capacity is known, one
@@ -373,11 +364,10 @@
                                  : AdmissionReason::kRefused;
 }
 
-/// Counts a decision. Returns whether the flow is admitted.
-bool CountDecision(Admission& admission, ClassMeasurements& own,
+/// Counts a decision.
+void CountDecision(Admission& admission, ClassMeasurements& own,
                    AdmissionReason reason, TimePoint now) {
-  const bool admitted =
-      reason != AdmissionReason::kRefused && reason != AdmissionReason::kUnfair;
+  const bool admitted = IsAdmitted(reason);
   const bool non_retryable = !own.flow_class.retryable;
   AdmissionCounters& counters = admission.counters;
   counters.admitted += admitted ? 1 : 0;
@@ -398,7 +388,6 @@
   } else if (own.refused_since == TimePoint()) {
     own.refused_since = now;
   }
-  return admitted;
 }
 
 double Average(double average, double measured) {
@@ -442,8 +431,14 @@
                  ExpectedSlowness(admission, service, now), now);
 }
 
-bool Admit(Admission& admission, const AdmissionRequest& request,
-           TimePoint now) {
+bool IsAdmitted(AdmissionReason reason) {
+  return reason != AdmissionReason::kRefused &&
+         reason != AdmissionReason::kUnfair;
+}
+
+AdmissionDecision DecideAdmission(Admission& admission,
+                                  const AdmissionRequest& request,
+                                  TimePoint now) {
   const double slowness = ExpectedSlowness(admission, request.service, now);
   ServiceMeasurements& measurements =
       MeasurementsOf(admission, request.service);
@@ -456,7 +451,13 @@
   const double share = ShareOf(measurements, flow_class, slowness, now);
   const AdmissionReason reason =
       Decide(admission, measurements, own, request, share, now);
-  return CountDecision(admission, own, reason, now);
+  CountDecision(admission, own, reason, now);
+  return {.reason = reason, .expected_slowness = slowness, .share = share};
+}
+
+bool Admit(Admission& admission, const AdmissionRequest& request,
+           TimePoint now) {
+  return IsAdmitted(DecideAdmission(admission, request, now).reason);
 }
 
 void AddFlowInFlight(Admission& admission, std::uint32_t service) {
--- a/Source/Admission/Admission.h
+++ b/Source/Admission/Admission.h
@@ -124,6 +124,26 @@
   std::uint64_t flow = 0;      ///< Hash of the flow's key.
 };
 
+/// Why a flow is admitted or refused.
+enum class AdmissionReason {
+  kWithinShare,
+  /// Admitted: without flows in flight, the end of an overload is not noticed.
+  kNoneInFlight,
+  kStarved,  ///< Admitted: no flow of the class was for `kMaxStarvation`.
+  kRefused,
+  kUnfair,  ///< Refused: the caller asks for more than its fair level.
+};
+
+/// The decision on a flow, and what it follows from.
+struct AdmissionDecision {
+  AdmissionReason reason = AdmissionReason::kWithinShare;
+  double expected_slowness = 0;  ///< See `ExpectedSlowness`.
+  double share = 1;              ///< See `AdmittedShare`.
+};
+
+/// Returns whether a flow is admitted.
+bool IsAdmitted(AdmissionReason reason);
+
 /// Returns the expected duration of a flow that is opened now, divided by its
 /// objective; 0 when there is no recent measurement.
 double ExpectedSlowness(const Admission& admission, std::uint32_t service,
@@ -147,6 +167,11 @@
 bool Admit(Admission& admission, const AdmissionRequest& request,
            TimePoint now);
 
+/// As `Admit`, and says why.
+AdmissionDecision DecideAdmission(Admission& admission,
+                                  const AdmissionRequest& request,
+                                  TimePoint now);
+
 /// Adds a flow that a server has accepted to the flows in flight.
 void AddFlowInFlight(Admission& admission, std::uint32_t service);
 
--- a/Source/Forwarding/FlowClassOf.cc
+++ b/Source/Forwarding/FlowClassOf.cc
@@ -7,6 +7,10 @@
           .retryable = route.kind != wire::REQUEST_UNSAFE};
 }
 
+bool IsSubjectToAdmission(const FlowPacket& packet, const RouteEntry& route) {
+  return packet.copies == 0 && route.objective.count() > 0;
+}
+
 AdmissionRequest MakeAdmissionRequest(const FlowPacket& packet,
                                       const RouteEntry& route,
                                       ServiceIndex service) {
--- a/Source/Forwarding/FlowClassOf.h
+++ b/Source/Forwarding/FlowClassOf.h
@@ -13,6 +13,11 @@
 /// Returns the class of the route's flows.
 FlowClass FlowClassOf(const RouteEntry& route);
 
+/// Returns whether admission control may refuse the flow that `packet` opens: a
+/// copy may have been accepted by a server already, and without an objective
+/// there is no measure of an overload.
+bool IsSubjectToAdmission(const FlowPacket& packet, const RouteEntry& route);
+
 /// Returns the request to admit the flow that `packet` opens.
 AdmissionRequest MakeAdmissionRequest(const FlowPacket& packet,
                                       const RouteEntry& route,
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -123,10 +123,7 @@
 bool IsRefusedForOverload(Forwarder& forwarder, const FlowPacket& packet,
                           const RouteEntry& route, ServiceIndex service,
                           TimePoint now) {
-  const bool subject_to_admission = forwarder.refuses_overload &&
-                                    packet.copies == 0 &&
-                                    route.objective.count() > 0;
-  return subject_to_admission &&
+  return forwarder.refuses_overload && IsSubjectToAdmission(packet, route) &&
          !Admit(forwarder.admission,
                 MakeAdmissionRequest(packet, route, service), now);
 }
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -93,19 +93,6 @@
   return index;
 }
 
-/// Returns whether a new flow may be sent to the server: always, unless its
-/// service has a limit (`limit` is not null) and it is cold, or may be.
-bool MayTakeFlow(const Placement& placement, ServerIndex index,
-                 const WarmupLimit* limit, TimePoint now) {
-  if (limit == nullptr) {
-    return true;
-  }
-  const PlacedServer& server = placement.servers[index];
-  return IsCold(placement, server, *limit, now)
-             ? HasWarmupBudget(placement.warmup, index, server.incarnation, now)
-             : MayBeSentFlow(placement.warmup, index, now);
-}
-
 /// Records that a new flow is sent to the server.
 void RecordWarmupFlow(Placement& placement, ServerIndex index,
                       const WarmupLimit* limit, TimePoint now) {
@@ -387,12 +374,29 @@
              : std::span<const std::string>();
 }
 
-bool IsCold(const Placement& placement, const PlacedServer& server,
-            const WarmupLimit& limit, TimePoint now) {
+TimePoint ColdUntil(const Placement& placement, const PlacedServer& server,
+                    const WarmupLimit& limit) {
   const TimePoint returned_at =
       placement.data_centres[server.data_centre].returned_at;
-  return now < server.warmup_ends_at ||
-         (returned_at != TimePoint() && now < returned_at + limit.duration);
+  return returned_at == TimePoint()
+             ? server.warmup_ends_at
+             : std::max(server.warmup_ends_at, returned_at + limit.duration);
+}
+
+bool IsCold(const Placement& placement, const PlacedServer& server,
+            const WarmupLimit& limit, TimePoint now) {
+  return now < ColdUntil(placement, server, limit);
+}
+
+bool MayTakeFlow(const Placement& placement, ServerIndex index,
+                 const WarmupLimit* limit, TimePoint now) {
+  if (limit == nullptr) {
+    return true;
+  }
+  const PlacedServer& server = placement.servers[index];
+  return IsCold(placement, server, *limit, now)
+             ? HasWarmupBudget(placement.warmup, index, server.incarnation, now)
+             : MayBeSentFlow(placement.warmup, index, now);
 }
 
 std::optional<ServerIndex> ChooseServer(Placement& placement,
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -193,11 +193,22 @@
 std::span<const std::string> RegionsOf(const Placement& placement,
                                        ServiceIndex service);
 
+/// Returns when the server has warmed up, or when enough time has passed since
+/// the last evacuation of its data centre; a past time if it is not cold.
+/// Precondition: `limit` is that of the server's service.
+TimePoint ColdUntil(const Placement& placement, const PlacedServer& server,
+                    const WarmupLimit& limit);
+
 /// Returns whether the server warms up or its data centre has returned lately.
 /// Precondition: `limit` is that of the server's service.
 bool IsCold(const Placement& placement, const PlacedServer& server,
             const WarmupLimit& limit, TimePoint now);
 
+/// Returns whether a new flow may be sent to the server: always, unless its
+/// service has a limit (`limit` is not null) and it is cold, or may be.
+bool MayTakeFlow(const Placement& placement, ServerIndex index,
+                 const WarmupLimit* limit, TimePoint now);
+
 /// Returns the server for a new flow; empty when the service has no usable
 /// server in the regions of the flow. `flow.except` is chosen only when all
 /// other servers are avoided. A failing server still gets a few flows whose
--- a/Source/Warmup/WarmupBudget.cc
+++ b/Source/Warmup/WarmupBudget.cc
@@ -13,6 +13,19 @@
   return now < lease.requested_at + budget.timing.lease;
 }
 
+/// Returns the valid lease on a server; null when there is none or it allows no
+/// flow.
+const WarmupServerBudget* FindLease(const WarmupBudget& budget,
+                                    std::uint32_t server,
+                                    std::uint64_t incarnation, TimePoint now) {
+  const auto found = budget.servers.find(server);
+  const bool usable = found != budget.servers.end() &&
+                      found->second.incarnation == incarnation &&
+                      found->second.flows_per_second > 0 &&
+                      IsValid(budget, found->second, now);
+  return usable ? &found->second : nullptr;
+}
+
 /// Returns the flows a second since the demand was last taken, rounded up.
 std::uint32_t MeasureDemand(const WarmupBudget& budget, std::uint32_t flows,
                             TimePoint now) {
@@ -44,25 +57,35 @@
 
 bool HasWarmupBudget(const WarmupBudget& budget, std::uint32_t server,
                      std::uint64_t incarnation, TimePoint now) {
-  const auto found = budget.servers.find(server);
-  if (found == budget.servers.end()) {
+  const WarmupServerBudget* lease = FindLease(budget, server, incarnation, now);
+  if (lease == nullptr) {
     return false;
   }
-  const WarmupServerBudget& lease = found->second;
-  if (lease.incarnation != incarnation || lease.flows_per_second == 0 ||
-      !IsValid(budget, lease, now)) {
-    return false;
-  }
-  if (lease.sent.size() < lease.flows_per_second) {
+  if (lease->sent.size() < lease->flows_per_second) {
     return true;
   }
   // The earliest of as many flows as the lease allows must have left the
   // window.
   const TimePoint earliest =
-      lease.sent[lease.sent.size() - lease.flows_per_second];
+      lease->sent[lease->sent.size() - lease->flows_per_second];
   return earliest + budget.timing.window <= now;
 }
 
+WarmupAllowance WarmupAllowanceOf(const WarmupBudget& budget,
+                                  std::uint32_t server,
+                                  std::uint64_t incarnation, TimePoint now) {
+  const WarmupServerBudget* lease = FindLease(budget, server, incarnation, now);
+  if (lease == nullptr) {
+    return {};
+  }
+  const auto in_window = static_cast<std::uint32_t>(std::count_if(
+      lease->sent.begin(), lease->sent.end(),
+      [&](TimePoint sent_at) { return sent_at + budget.timing.window > now; }));
+  return {.flows_per_second = lease->flows_per_second,
+          .flows_left = lease->flows_per_second -
+                        std::min(in_window, lease->flows_per_second)};
+}
+
 void SpendWarmupBudget(WarmupBudget& budget, std::uint32_t server,
                        TimePoint now) {
   std::deque<TimePoint>& sent = budget.servers.at(server).sent;
--- a/Source/Warmup/WarmupBudget.h
+++ b/Source/Warmup/WarmupBudget.h
@@ -92,6 +92,19 @@
 bool HasWarmupBudget(const WarmupBudget& budget, std::uint32_t server,
                      std::uint64_t incarnation, TimePoint now);
 
+/// What an entry instance may send to a cold server.
+struct WarmupAllowance {
+  std::uint32_t flows_per_second = 0;  ///< Of the lease; 0: none is valid.
+  std::uint32_t flows_left = 0;        ///< Flows that may be sent now.
+};
+
+/// Returns what may be sent to a cold server now. `flows_left` is above 0 if
+/// and only if `HasWarmupBudget` returns true. For reports: the time it takes
+/// is proportional to the flows sent lately.
+WarmupAllowance WarmupAllowanceOf(const WarmupBudget& budget,
+                                  std::uint32_t server,
+                                  std::uint64_t incarnation, TimePoint now);
+
 /// Records that a flow is sent to a cold server. Precondition:
 /// `HasWarmupBudget` returns true.
 void SpendWarmupBudget(WarmupBudget& budget, std::uint32_t server,
--- a/Tests/Warmup/WarmupBudgetTest.cc
+++ b/Tests/Warmup/WarmupBudgetTest.cc
@@ -165,3 +165,17 @@
   CHECK_TRUE(
       TakeWarmupDemand(this->budget, kStart + kWarmupDemandLifetime).empty());
 }
+
+// Guards against a report that says other than what is decided.
+TEST(WarmupBudget, TheAllowanceAgreesWithWhatMayBeSent) {
+  for (int i = 0; i < 3000; i += 7) {
+    const TimePoint now = kStart + Milliseconds(i);
+    if (i < 1500) {
+      this->Lease(1 + i % 5, now, now);
+    }
+    const WarmupAllowance allowance =
+        WarmupAllowanceOf(this->budget, kServer, kIncarnation, now);
+    CHECK_EQUAL(this->Send(now), allowance.flows_left > 0);
+    CHECK(allowance.flows_left <= allowance.flows_per_second);
+  }
+}
