Shell, Commands: Ask a running entry instance where a flow goes

Cause: `explain` knew only the lines of a rules file, not what a running instance makes of them.

`filbertwall explain --at IP:PORT [--json] TO [CALLER]` prints it. The instance's part is const; the refusal interval is computed anew for the call. EntryRuntime.cc is shorter, as the names of the reasons moved to Forwarding. `explain FILE` without a subject now says what is expected; its exit code stays 2.

--- a/Source/Commands/Commands.cc
+++ b/Source/Commands/Commands.cc
@@ -11,6 +11,7 @@
 
 #include "Base/InputError.h"
 #include "Base/Text.h"
+#include "Commands/ExplainAt.h"
 #include "Rules/Explain.h"
 #include "Rules/RulesParser.h"
 #include "Settings/Settings.h"
@@ -182,17 +183,37 @@
 }
 
 int RunExplain(TCLAP::CmdLine& line, Arguments& arguments) {
-  FileArgument file("rules", "Rules file.", true, "", "FILE", line);
-  TCLAP::UnlabeledMultiArg<std::string> subject_words(
-      "subject", "HOST METHOD PATH of a request, or IP:PORT of a flow.", true,
-      "WORD", line);
+  TextOption instance("", "at",
+                      "Metrics port of a running entry instance: what it would "
+                      "do with a new flow now.",
+                      false, "", "IP:PORT", line);
+  TCLAP::SwitchArg json("", "json", "Print the instance's answer as JSON.",
+                        line);
+  TCLAP::UnlabeledMultiArg<std::string> words(
+      "subject",
+      "Rules FILE, then HOST METHOD PATH of a request or IP:PORT of a flow. "
+      "With --at: IP:PORT that is called, then IP:PORT of the caller if it "
+      "matters.",
+      true, "WORD", line);
   line.parse(arguments);
-  const auto checked = LoadRules(file.getValue());
+  if (instance.isSet()) {
+    return RunExplainAt(instance.getValue(), words.getValue(), json.isSet());
+  }
+  if (json.isSet()) {
+    std::cerr << "error: --json: expected --at IP:PORT\n";
+    return kExitUsage;
+  }
+  if (words.getValue().size() == 1) {
+    std::cerr << "error: expected FILE, then HOST METHOD PATH or IP:PORT\n";
+    return kExitUsage;
+  }
+  const std::string& file = words.getValue().front();
+  const Arguments subject(words.getValue().begin() + 1, words.getValue().end());
+  const auto checked = LoadRules(file);
   if (!checked) {
     return kExitFindings;
   }
-  const Explanation explanation =
-      Explain(checked->rules, subject_words.getValue());
+  const Explanation explanation = Explain(checked->rules, subject);
   (explanation.found ? std::cout : std::cerr) << explanation.text;
   return explanation.found ? kExitSuccess : kExitFindings;
 }
@@ -321,7 +342,7 @@
       {"format", {"Prepare the first control instance's disk.", RunFormat}},
       {"check", {"Report every finding in a rules file.", RunCheck}},
       {"check-config", {"Report every finding in settings.", RunCheckConfig}},
-      {"explain", {"Say which rules apply, and whose.", RunExplain}},
+      {"explain", {"Say which rules apply, or where a flow goes.", RunExplain}},
       {"submit", {"Hand over a rules file.", RunSubmit}},
       {"status", {"Show which instances have which version.", RunStatus}},
       {"dump", {"Print the state of a process as JSON.", RunDump}},
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -8,6 +8,7 @@
 #include "Fleet/ControlInstance.h"
 #include "Shell/ControlStore.h"
 #include "Shell/EndReport.h"
+#include "Shell/ExplainAnswer.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
 #include "Shell/FleetPorts.h"
@@ -63,8 +64,13 @@
         file(source.path, source.text),
         link(this->loop.Base()),
         http(this->loop.Base()),
-        metrics(this->loop.Base(),
-                [this] { return this->FormatCurrentMetrics(); }) {}
+        metrics(
+            this->loop.Base(), [this] { return this->FormatCurrentMetrics(); },
+            [](const HttpRequest&) {
+              return RefuseExplainCall(
+                  "a control instance forwards no flows: ask an entry "
+                  "instance");
+            }) {}
 
   RunError Run();
 
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -1,7 +1,9 @@
 #include <random>
 
+#include "Fleet/EntryExplanation.h"
 #include "Fleet/EntryInstance.h"
 #include "Shell/EndReport.h"
+#include "Shell/ExplainAnswer.h"
 #include "Shell/FleetLink.h"
 #include "Shell/FleetLoop.h"
 #include "Shell/FleetPorts.h"
@@ -21,34 +23,17 @@
 /// Period for which an overloaded service refuses the same callers.
 constexpr Milliseconds kRefusalRoundLength{2000};
 
-const char* ReasonName(ForwardReason reason) {
-  switch (reason) {
-    case ForwardReason::kToken:
-      return "token";
-    case ForwardReason::kPlaced:
-      return "placed";
-    case ForwardReason::kPlacedAgain:
-      return "placed-again";
-    case ForwardReason::kNoRoute:
-      return "no-route";
-    case ForwardReason::kRouteDropped:
-      return "route-dropped";
-    case ForwardReason::kUnknownToken:
-      return "unknown-token";
-    case ForwardReason::kNoServerInRegion:
-      return "no-server-in-region";
-    case ForwardReason::kNoServer:
-      return "no-server";
-    case ForwardReason::kOverload:
-      return "overload";
-    case ForwardReason::kLate:
-      return "late";
-    case ForwardReason::kNotServing:
-      return "not-serving";
-    case ForwardReason::kStale:
-      return "stale";
-  }
-  return "";
+/// Time since the wall clock's epoch. The refusal intervals are derived from
+/// it, so that all instances refuse the same callers. A jump of the clock
+/// changes which callers are refused.
+Milliseconds WallClockTime() {
+  return std::chrono::duration_cast<Milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// Returns `Admission::refusal_interval` for a wall clock time.
+std::uint64_t RefusalIntervalAt(Milliseconds since_epoch) {
+  return static_cast<std::uint64_t>(since_epoch / kRefusalRoundLength);
 }
 
 class EntryRuntime {
@@ -60,8 +45,11 @@
         link(this->loop.Base()),
         packets(this->loop.Base()),
         http(this->loop.Base()),
-        metrics(this->loop.Base(),
-                [this] { return this->FormatCurrentMetrics(); }) {}
+        metrics(
+            this->loop.Base(), [this] { return this->FormatCurrentMetrics(); },
+            [this](const HttpRequest& request) {
+              return this->ExplainCurrent(request);
+            }) {}
 
   RunError Run();
 
@@ -90,6 +78,7 @@
   void LogDecision(const FlowPacket& packet, const Decision& decision);
   void ReloadSettings();
   std::string FormatCurrentMetrics() const;
+  wire::Answer ExplainCurrent(const HttpRequest& request) const;
 
   Settings settings;
   const FleetAdapter& adapter;
@@ -205,12 +194,9 @@
   if (now < this->next_refusal_interval_at) {
     return;
   }
-  // The interval is derived from the wall clock, so that all instances refuse
-  // the same callers. A jump of the clock changes which callers are refused.
-  const auto since_epoch = std::chrono::duration_cast<Milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
+  const Milliseconds since_epoch = WallClockTime();
   this->instance.forwarder.admission.refusal_interval =
-      static_cast<std::uint64_t>(since_epoch / kRefusalRoundLength);
+      RefusalIntervalAt(since_epoch);
   this->next_refusal_interval_at =
       now + kRefusalRoundLength - since_epoch % kRefusalRoundLength;
 }
@@ -227,6 +213,17 @@
       FleetNow()));
 }
 
+wire::Answer EntryRuntime::ExplainCurrent(const HttpRequest& request) const {
+  const ExplainCall call = ReadExplainCall(request);
+  if (!call.error.empty()) {
+    return RefuseExplainCall(call.error);
+  }
+  return AnswerExplainCall(ExplainEntryFlow(
+      this->instance,
+      {.key = call.key, .refusal_interval = RefusalIntervalAt(WallClockTime())},
+      FleetNow()));
+}
+
 void EntryRuntime::HandlePacket(const ReceivedDatagram& datagram,
                                 TimePoint now) {
   const InputMark mark(InputKind::kPacket, datagram.bytes.size());
@@ -353,11 +350,12 @@
     return;
   }
   const Placement& placement = this->instance.forwarder.placement;
-  std::string text = "flow=" + FormatEndpoint(packet.key.caller) + ">" +
-                     FormatEndpoint(packet.key.address) +
-                     " reason=" + ReasonName(decision.reason) + " version=" +
-                     std::to_string(this->instance.forwarder.routes.version) +
-                     " copies=" + std::to_string(packet.copies);
+  std::string text =
+      "flow=" + FormatEndpoint(packet.key.caller) + ">" +
+      FormatEndpoint(packet.key.address) +
+      " reason=" + ForwardReasonName(decision.reason) +
+      " version=" + std::to_string(this->instance.forwarder.routes.version) +
+      " copies=" + std::to_string(packet.copies);
   if (forwarded) {
     const PlacedServer& server = placement.servers[decision.server];
     text += " server=" + server.id +
--- a/Tests/System/outside_input_test.py
+++ b/Tests/System/outside_input_test.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -438,6 +439,87 @@
             process.wait()
 
 
+@contextlib.contextmanager
+def one_answer(body):
+    """An HTTP server that answers one call with status 200 and the body;
+    yields its address."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        def serve():
+            connection = listener.accept()[0]
+            with connection:
+                connection.recv(4096)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d"
+                                   b"\r\n\r\n%s" % (len(body), body))
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        yield "127.0.0.1:%d" % listener.getsockname()[1]
+        thread.join(5)
+
+
+def explain_answers_and_odd_calls_are_refused():
+    """Guards against an answer that differs from what the instance does, one
+    that a control instance gives, and odd calls that are answered."""
+    with small_fleet() as small:
+        def explain(host, *words):
+            return subprocess.run(
+                [fleet_processes.BINARY, "explain", "--at",
+                 "%s:%d" % (host, METRICS_PORT)] + list(words),
+                capture_output=True, text=True, check=False, timeout=20)
+
+        def get(target, method="GET"):
+            connection = http.client.HTTPConnection(
+                small.entry.host, METRICS_PORT, timeout=2)
+            connection.request(method, target)
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read())
+
+        entry = small.entry.host
+        placed = explain(entry, "--json", "198.18.0.1:443", "127.0.0.1:1059")
+        assert placed.returncode == 0, placed
+        answer = json.loads(placed.stdout)
+        assert answer["route"]["service"] == "alpha", answer
+        assert answer["decision"]["action"] == "forward", answer
+        assert answer["servers"][0]["id"] == answer["decision"]["server"]
+        text = explain(entry, "198.18.0.1:443")
+        assert text.stdout.splitlines()[-1].startswith(
+            "decision: forward to server i-0000000"), text
+        assert "FW-6001" not in small.entry.log_text()
+        unknown = explain(entry, "198.18.0.9:443")
+        assert "route: none\n" in unknown.stdout, unknown
+        assert "decision: reset (no-route)\n" in unknown.stdout, unknown
+        control = explain(small.controls[0].host, "198.18.0.1:443")
+        assert control.returncode == 4, control
+        assert control.stderr == (
+            "refused: a control instance forwards no flows: ask an entry "
+            "instance\n"), control
+        # Another HTTP server of the instance: no answer of this form.
+        other = subprocess.run(
+            [fleet_processes.BINARY, "explain", "--at",
+             "%s:%d" % (entry, READY_PORT), "198.18.0.1:443"],
+            capture_output=True, text=True, check=False, timeout=20)
+        assert other.returncode == 5, other
+        for body in (b"hello", b"{}", b"[1]", b'{"route": "\xff"}', b""):
+            with one_answer(body) as address:
+                strange = subprocess.run(
+                    [fleet_processes.BINARY, "explain", "--at", address,
+                     "198.18.0.1:443"],
+                    capture_output=True, text=True, check=False, timeout=20)
+            assert strange.returncode == 5, strange
+            assert strange.stderr.startswith("unknown: "), strange
+            assert not strange.stdout, strange
+        for target in ("/explain", "/explain?", "/explain?to=", "/explain?x=1",
+                       "/explain?to=198.18.0.1", "/explain?to=a%FF:1",
+                       "/explain?to=198.18.0.1:443&to=198.18.0.1:443",
+                       "/explain?from=198.18.0.1:443",
+                       "/explain?to=198.18.0.1:443&from=",
+                       "/explain?to=" + "1" * 300):
+            status, refusal = get(target)
+            assert status == 400 and refusal["error"], (target, refusal)
+        assert get("/explain?to=198.18.0.1:443", "POST")[0] == 400
+        assert get("/explain?to=198.18.0.1%3A443")[0] == 200
+        small.check()
+
+
 def can_write(fifo):
     try:
         os.set_blocking(os.open(fifo, os.O_WRONLY | os.O_NONBLOCK), True)
