Shell: Explanation's text says when admission control is not asked

Cause: "not asked" and "0.00 effective slots" in a real answer left open what they mean.

Change: the text names a route without an objective, leaves out slots that are not known, and calls servers usable that are ready, report and are not evacuated.

--- a/Source/Forwarding/FlowExplanation.h
+++ b/Source/Forwarding/FlowExplanation.h
@@ -55,7 +55,7 @@
   std::string region;  ///< Empty: in none.
   DataCentreState state = DataCentreState::kIn;
   std::uint32_t servers = 0;  ///< Of the service, also those that are silent.
-  std::uint32_t usable = 0;   ///< Those that may be chosen.
+  std::uint32_t usable = 0;   ///< Those ready, reporting, not evacuated.
   /// Duration of flows by that without load; 1 without `balance_by_load`.
   double load = 1;
   double diverted_share = 0;
--- a/Source/Shell/ExplainText.cc
+++ b/Source/Shell/ExplainText.cc
@@ -118,7 +118,7 @@
          (region.empty() ? "" : " (" + region + ")") + ": " +
          Meaning(kMeanings, Text(item, "state")) + "; " +
          Whole(item, "usable") + " of " + Whole(item, "servers") +
-         " servers may be chosen, load " + Decimal(item, "load") + ", " +
+         " servers usable, load " + Decimal(item, "load") + ", " +
          Percent(item, "diverted_share") + " diverted\n";
 }
 
@@ -134,8 +134,8 @@
   const double warmup_left_ms = item.at("warmup_left_ms").get<double>();
   std::string text =
       "server " + Text(item, "id") + " in " + Text(item, "data_centre") + ": " +
-      Meaning(kMeanings, Text(item, "state")) + "; " +
-      Whole(item, "in_flight") + " flows here on " + Whole(item, "slots") +
+      Meaning(kMeanings, Text(item, "state")) + "; in flight here " +
+      Whole(item, "in_flight") + " on " + Whole(item, "slots") +
       " slots, slowness " + Decimal(item, "slowness");
   text += mean_ms > 0 ? ", mean " + Decimal(mean_ms) + " ms" : "";
   if (warmup_left_ms > 0) {
@@ -165,16 +165,22 @@
       {"unfair", "refused, its caller asks for more than its fair level"}};
   const Json& admission = document.at("admission");
   if (admission.is_null()) {
-    return "admission: not asked\n";
+    const Json& route = document.at("route");
+    const bool no_objective =
+        !route.is_null() && Whole(route, "objective_ms") == "0";
+    return std::string("admission: not asked") +
+           (no_objective ? ", as the route has no objective\n" : "\n");
   }
   return "admission: " + Meaning(kMeanings, Text(admission, "reason")) +
          "; class priority " + Whole(admission, "priority") +
          (Flag(admission, "repeatable") ? ", repeatable" : ", not repeatable") +
          ", admitted share " + Decimal(admission, "admitted_share") +
          ", expected duration " + Decimal(admission, "expected_slowness") +
-         " of the objective, " + Whole(admission, "in_flight") +
-         " flows here on " + Decimal(admission, "effective_slots") +
-         " effective slots\n";
+         " of the objective, in flight here " + Whole(admission, "in_flight") +
+         (admission.at("effective_slots").get<double>() > 0
+              ? " on " + Decimal(admission, "effective_slots") +
+                    " effective slots\n"
+              : "\n");
 }
 
 std::string FormatDraws(const Json& document) {
--- a/Tests/Shell/ExplainTest.cc
+++ b/Tests/Shell/ExplainTest.cc
@@ -109,21 +109,31 @@
       "serving\n"
       "route: service catalogue, kind safe, priority 2, timeout 1000 ms, "
       "objective 500 ms, only regions north\n"
-      "data centre n1 (north): out: evacuated; 0 of 3 servers may be chosen, "
+      "data centre n1 (north): out: evacuated; 0 of 3 servers usable, "
       "load 1.00, 0 % diverted\n"
-      "server i-2 in n2: out: cold, and no budget is left; 1 flows here on 2 "
-      "slots, slowness 1.50, warm-up 7.90 s left, budget 0 of 2 flows a "
+      "server i-2 in n2: out: cold, and no budget is left; in flight here 1 on "
+      "2 slots, slowness 1.50, warm-up 7.90 s left, budget 0 of 2 flows a "
       "second\n"
       "7 more servers\n"
       "admission: refused, beyond the share of its class; class priority 2, "
       "repeatable, admitted share 0.25, expected duration 0.80 of the "
-      "objective, 9 flows here on 4.00 effective slots\n"
+      "objective, in flight here 9 on 4.00 effective slots\n"
       "drawn: admission by caller, anew each 2 s. Another flow may fare "
       "differently.\n"
       "decision: reset (overload)\n",
       Format(MakeExplanation()).c_str());
 }
 
+/// Guards against the impression that admission control had its say.
+TEST(Explain, TextSaysWhenAdmissionControlIsNotAsked) {
+  EntryExplanation explanation = MakeExplanation();
+  explanation.flow.admission.reset();
+  STRCMP_CONTAINS("admission: not asked\n", Format(explanation).c_str());
+  explanation.flow.route->objective = Milliseconds(0);
+  STRCMP_CONTAINS("admission: not asked, as the route has no objective\n",
+                  Format(explanation).c_str());
+}
+
 /// Guards against an instance that is out of touch and does not say so.
 TEST(Explain, TextSaysWhyFlowsAreHeldBack) {
   EntryExplanation explanation{.data_centre = "n1"};
