Tests: Explanations follow the refusal interval and name open flows

Cause: the interval of an idle instance's state is out of date, so the call brings its own; no test changed it, or looked at an open flow.

Change: FlowExplanationTest changes the interval every 50 flows and asks again for each flow that was opened.

--- a/Tests/Forwarding/FlowExplanationTest.cc
+++ b/Tests/Forwarding/FlowExplanationTest.cc
@@ -141,13 +141,17 @@
   for (std::uint16_t port = 1; port <= 1000; ++port) {
     const TimePoint now = kStart + Milliseconds(2 * port);
     ExpireFlows(this->forwarder, now);
-    const FlowExplanation first =
-        ExplainFlow(this->forwarder, Query(port), now);
-    const FlowExplanation again =
-        ExplainFlow(this->forwarder, Query(port), now);
+    FlowQuery query = Query(port);
+    query.refusal_interval = port / 50;
+    const FlowExplanation first = ExplainFlow(this->forwarder, query, now);
+    const FlowExplanation again = ExplainFlow(this->forwarder, query, now);
     STRCMP_EQUAL(first.server.c_str(), again.server.c_str());
     LONGS_EQUAL(unasked.placement.draw_count,
                 this->forwarder.placement.draw_count);
+    STRCMP_EQUAL("", first.open_at.c_str());
+    // As a packet does whose time lies in a new interval.
+    unasked.admission.refusal_interval = query.refusal_interval;
+    this->forwarder.admission.refusal_interval = query.refusal_interval;
     const Decision expected = Open(unasked, port, now);
     const Decision decision = Open(this->forwarder, port, now);
     CHECK(decision.verdict == expected.verdict);
@@ -160,6 +164,8 @@
       STRCMP_EQUAL(
           this->forwarder.placement.servers[decision.server].id.c_str(),
           first.server.c_str());
+      STRCMP_EQUAL(first.server.c_str(),
+                   ExplainFlow(this->forwarder, query, now).open_at.c_str());
     }
     CHECK_EQUAL(decision.reason != ForwardReason::kOverload,
                 IsAdmitted(first.admission->decision.reason));
