Tests: Some instances have no lease where capacity must not follow leases

CapacityFollowsTheLimitAndNotTheOwnLeases needs an instance without a lease. Since the leader leaves late requesters their shares, four instances with 12 flows a second to share all get one, and the premise failed. 16 instances share them now; what is checked is unchanged.

--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -468,7 +468,8 @@
 // Guards against a capacity told to admission control that changes with the
 // leases of an instance, and against one that counts what nobody may use.
 TEST(Warmup, CapacityFollowsTheLimitAndNotTheOwnLeases) {
-  WarmupWorld test = MakeWarmupWorld(3, 4, 4, 30);
+  // 12 flows a second for 16 instances: some have no lease.
+  WarmupWorld test = MakeWarmupWorld(3, 16, 4, 30);
   for (auto& [id, entry] : test.world.entries) {
     entry.forwarder.placement.config.balance_by_load = true;
   }
