Forwarding, Shell: Explain names servers that may have started unheard

Since an instance out of contact limits itself to one flow a window for a server of a service with a warm-up rate, a server that has had it was shown as cold without budget, and a reset for this cause was not put down to it. It has a state of its own, unconfirmed.

--- a/Source/Fleet/EntryExplanation.h
+++ b/Source/Fleet/EntryExplanation.h
@@ -15,7 +15,7 @@
   bool stopping = false;
   bool rules_confirmed = false;  ///< See `EntryInstance`, also for the next.
   bool servers_known = false;
-  /// The control instance that it follows; 0: it is out of touch.
+  /// The control instance that it follows; 0: it follows none.
   InstanceAddress control = 0;
   FlowExplanation flow;
 };
--- a/Source/Forwarding/FlowExplanation.cc
+++ b/Source/Forwarding/FlowExplanation.cc
@@ -133,7 +133,9 @@
     return ServerState::kOutOfRegion;
   }
   if (!MayTakeFlow(placement, index, limit, context.now)) {
-    return ServerState::kNoBudget;
+    return IsCold(placement, server, *limit, context.now)
+               ? ServerState::kNoBudget
+               : ServerState::kUnconfirmed;
   }
   if (IsAvoided(server, context.now) || context.now < data_centre.avoid_until) {
     return ServerState::kAvoided;
@@ -276,8 +278,10 @@
   const Decision decision = DecidePacket(copy, packet, now);
   result.verdict = decision.verdict;
   result.reason = decision.reason;
-  result.lacks_budget = copy.placement.warmup.counters.refused >
-                        forwarder.placement.warmup.counters.refused;
+  const WarmupCounters& before = forwarder.placement.warmup.counters;
+  const WarmupCounters& after = copy.placement.warmup.counters;
+  result.lacks_budget =
+      after.refused > before.refused || after.unconfirmed > before.unconfirmed;
   if (decision.verdict == Verdict::kForward) {
     result.server = forwarder.placement.servers[decision.server].id;
   }
--- a/Source/Forwarding/FlowExplanation.h
+++ b/Source/Forwarding/FlowExplanation.h
@@ -66,8 +66,11 @@
   kCandidate,
   kOutOfRegion,
   kNoBudget,  ///< Cold, and the budget held here is used up.
-  kAvoided,   ///< Does not answer; chosen only when there is no other.
-  kFailing,   ///< As above, but for a few flows that show its recovery.
+  /// Got a flow in the last window, and may have started again unheard: the
+  /// instance is out of contact with the control instances.
+  kUnconfirmed,
+  kAvoided,  ///< Does not answer; chosen only when there is no other.
+  kFailing,  ///< As above, but for a few flows that show its recovery.
 };
 
 struct ExplainedServer {
@@ -115,8 +118,9 @@
   ExplainedDraws draws;
   Verdict verdict = Verdict::kDrop;
   ForwardReason reason = ForwardReason::kNoRoute;
-  std::string server;         ///< Valid with kForward.
-  bool lacks_budget = false;  ///< Cold servers had no budget for the flow.
+  std::string server;  ///< Valid with kForward.
+  /// Only servers with state `kNoBudget` or `kUnconfirmed` were left.
+  bool lacks_budget = false;
 };
 
 /// Returns the name used in logs, such as "no-route".
--- a/Source/Shell/ExplainAnswer.cc
+++ b/Source/Shell/ExplainAnswer.cc
@@ -51,6 +51,8 @@
       return "out-of-region";
     case ServerState::kNoBudget:
       return "no-budget";
+    case ServerState::kUnconfirmed:
+      return "unconfirmed";
     case ServerState::kAvoided:
       return "not-answering";
     case ServerState::kFailing:
--- a/Source/Shell/ExplainText.cc
+++ b/Source/Shell/ExplainText.cc
@@ -64,7 +64,7 @@
   std::string text =
       "instance in " + Text(instance, "data_centre") + ": rules version " +
       Whole(instance, "rules_version") + ", " +
-      (control.empty() ? "out of touch with the control instances"
+      (control.empty() ? "out of contact with the control instances"
                        : "follows control instance " + control);
   text += Flag(instance, "serving") ? ", serving" : ", holds new flows back";
   if (!Flag(instance, "rules_confirmed")) {
@@ -127,6 +127,9 @@
       {"candidate", "candidate"},
       {"out-of-region", "out: not in a region of the route"},
       {"no-budget", "out: cold, and no budget is left"},
+      {"unconfirmed",
+       "out: got a flow in the last 1.2 s, and may have started again since "
+       "the control instances were last heard"},
       {"not-answering", "does not answer, only used when there is no other"},
       {"failing", "failing, only used when there is no other or as a trial"}};
   constexpr double kMillisecondsPerSecond = 1000;
@@ -204,9 +207,9 @@
   return "decision: " + Text(decision, "action") +
          (server.empty() ? "" : " to server " + server) + " (" +
          Text(decision, "reason") +
-         (Flag(decision, "lacks_budget")
-              ? "; only cold servers without budget are left"
-              : "") +
+         (Flag(decision, "lacks_budget") ? "; only servers are left that are "
+                                           "cold or may be, without budget"
+                                         : "") +
          ")\n";
 }
 
--- a/Tests/Forwarding/FlowExplanationTest.cc
+++ b/Tests/Forwarding/FlowExplanationTest.cc
@@ -229,6 +229,22 @@
   CHECK(this->Explain().reason == ForwardReason::kNotServing);
 }
 
+/// Guards against a reset by an instance out of contact that is put down to
+/// cold servers.
+TEST(FlowExplanation, ShowsServersThatAreNotConfirmed) {
+  WarmupBudget& budget = this->forwarder.placement.warmup;
+  const ServerIndex warm = this->forwarder.placement.by_id.at("d4");
+  RecordLastFlow(budget, warm, kStart);
+  CHECK(Find(this->Explain(), "d4")->state == ServerState::kCandidate);
+  budget.confirmed_until = kStart;
+  CHECK(Find(this->Explain(), "d4")->state == ServerState::kUnconfirmed);
+  CHECK(!this->Explain().lacks_budget);
+  RecordLastFlow(budget, this->forwarder.placement.by_id.at("c3"), kStart);
+  budget.servers.clear();
+  CHECK(this->Explain().verdict == Verdict::kReset);
+  CHECK(this->Explain().lacks_budget);
+}
+
 /// Guards against an answer that grows with the fleet, and one in which the
 /// chosen server is among those left out.
 TEST(FlowExplanation, IsBounded) {
--- a/Tests/Shell/ExplainTest.cc
+++ b/Tests/Shell/ExplainTest.cc
@@ -134,14 +134,14 @@
                   Format(explanation).c_str());
 }
 
-/// Guards against an instance that is out of touch and does not say so.
+/// Guards against an instance that is out of contact and does not say so.
 TEST(Explain, TextSaysWhyFlowsAreHeldBack) {
   EntryExplanation explanation{.data_centre = "n1"};
   explanation.flow.verdict = Verdict::kHold;
   explanation.flow.reason = ForwardReason::kNotServing;
   const std::string text = Format(explanation);
   STRCMP_CONTAINS(
-      "out of touch with the control instances, holds new flows back; not "
+      "out of contact with the control instances, holds new flows back; not "
       "confirmed yet that its rules and evacuations are the newest; has not "
       "received all servers yet\n",
       text.c_str());
