--- a/Tests/Fleet/WarmupTest.cc
+++ b/Tests/Fleet/WarmupTest.cc
@@ -502,6 +502,21 @@
   DOUBLES_EQUAL(0, lowest, 0);
 }
 
+// Guards against admission control that decides by the capacity although
+// balancing by load is off.
+TEST(Warmup, WithoutBalancingNoCapacityIsTold) {
+  WarmupWorld test = MakeWarmupWorld(3, 2, 4, 30);
+  RestartServers(test, 0, 4);
+  RunWithFlows(test, Milliseconds(2000));
+  for (const auto& [id, entry] : test.world.entries) {
+    const auto& services = entry.forwarder.admission.services;
+    CHECK_TRUE(std::all_of(services.begin(), services.end(),
+                           [](const ServiceMeasurements& measured) {
+                             return measured.capacity.effective_slots == 0;
+                           }));
+  }
+}
+
 // Guards against messages and limits for services without a rate.
 TEST(Warmup, WithoutALimitNothingIsLimitedOrSent) {
   WarmupWorld test = MakeWarmupWorld(3, 2, 2, 100, "warmup=8s warmup-rate=0.0");
--- a/Tests/Placement/BalanceTest.cc
+++ b/Tests/Placement/BalanceTest.cc
@@ -116,6 +116,27 @@
   CHECK(this->RemoteShare() < 0.05);
 }
 
+/// The network to a distant data centre is no load that keeps flows from it
+/// while the own one is full.
+TEST(Balance, FlowsAreDivertedToADistantDataCentre) {
+  this->AddTen();
+  this->EndFlows(0, 200, Milliseconds(30));
+  for (int i = 0; i < 40; ++i) {
+    this->EndFlows(0, 10, Milliseconds(140));
+    this->EndFlows(1, 1, Milliseconds(130));
+  }
+  CHECK(this->RemoteShare() > 0.3);
+}
+
+/// Nothing is known of a data centre that never got a flow, and nothing would
+/// ever be if none were sent there.
+TEST(Balance, AnUnknownDataCentreGetsFlowsOfALoadedOne) {
+  this->AddTen();
+  this->EndFlows(0, 200, Milliseconds(30));
+  this->EndFlows(0, 200, Milliseconds(150));
+  CHECK(this->RemoteShare() > 0.3);
+}
+
 /// The load is measured with flows, which end when nothing is sent any more: an
 /// old measurement must not divert for ever.
 TEST(Balance, AnOutdatedLoadDivertsNothing) {
