Soak: Check the load limit of servers that have just started

The services of the soak have a warm-up rate of 1 flow a second for 4 s. Servers that start say so in their reports; of those that crash, some start again under the same id 0.3 to 2 s later. Each server counts the flows that open in any second while it warms up: at most 1.5 times the rate plus 5. Flows name the life of their server instead of its id.

--- a/Tests/Soak/fleet_soak.py
+++ b/Tests/Soak/fleet_soak.py
@@ -6,7 +6,8 @@
 restarted by signals; links between instances are cut, one way or both, lose or
 delay messages; calls are reset or held back by a relay; disks are full or
 wiped; servers crash, leave and are replaced, also at the address of another
-service; data centres are evacuated and return; another writer sends odd reports, configs, requests, packets and
+service, or start again under the same id, and are cold then; data centres are
+evacuated and return; another writer sends odd reports, configs, requests, packets and
 messages all the while. With `disks`, the faults of control instances are series
 of full disks, one after another, with restarts meanwhile. Ends with 1 and prints
 every broken promise, and keeps the logs, when
@@ -30,6 +31,7 @@
 import fleet_traffic  # noqa: E402
 import odd_writer  # noqa: E402
 import relay  # noqa: E402
+import warmups  # noqa: E402
 
 START_S = 5.0
 SETTLE_S = 9.0
@@ -59,6 +61,8 @@
         self.evacuates = evacuates
         self.evacuations = evacuations.Evacuations(self.traffic, seed)
         self.traffic.opening_checks.append(self.evacuations.check_opening)
+        self.warmups = warmups.Warmups(self.traffic)
+        self.traffic.opening_checks.append(self.warmups.check_opening)
         self.odd_writer = odd_writer.OddWriter(self.fleet, network + ".4.2",
                                                seed)
         self.next_server = seed % 1000 * 65536 + 1
@@ -67,13 +71,16 @@
         self.series_end = 0.0  # of disks that are full one after another
         self.events = []
 
-    def add_server(self, host_number, service):
-        number = self.next_server
-        self.next_server += 1
+    def add_server(self, host_number, service, number=None,
+                   warmup_s=warmups.DURATION_S):
+        """Adds a server, or starts the one with `number` again."""
+        if number is None:
+            number = self.next_server
+            self.next_server += 1
         host = "%s.3.%d" % (self.fleet.network, host_number)
         zone = evacuations.ZONES[host_number // 2 % len(evacuations.ZONES)]
         return fleet_traffic.Server(self.traffic, number, host, 9000, service,
-                                    zone)
+                                    zone, warmup_s)
 
     def note(self, what):
         self.events.append("%.2f: %s" % (time.monotonic(), what))
@@ -216,7 +223,7 @@
 
     def fault_of_server(self):
         """A successor starts; the old one leaves or crashes. At times its
-        address goes to another service."""
+        address goes to another service, or it starts again by itself."""
         ready = [s for s in self.traffic.servers
                  if s.alive and s.state == "ready"]
         if len(ready) < 6:
@@ -224,15 +231,19 @@
         server = self.random.choice(ready)
         host_number = int(server.host.split(".")[3])
         crash = self.random.random() < 0.4
-        other = self.random.random() < 0.5
+        again = crash and self.random.random() < 0.6
+        other = not again and self.random.random() < 0.5
         service = {"alpha": "beta", "beta": "alpha"}[server.service] \
             if other else server.service
-        self.note("server %s %s" % (server.id,
+        self.note("server %s %s" % (server.name, "starts again" if again else
                                     "crashes" if crash else "leaves"))
 
         def replace():
             server.end()
-            self.later(2.0, lambda: self.add_server(host_number, service))
+            down = self.random.uniform(0.3, 2.0) if again else 2.0
+            number = server.number if again else None
+            self.later(down, lambda: self.add_server(host_number, service,
+                                                     number))
         if crash:
             replace()
         else:
@@ -260,7 +271,7 @@
         for process in self.fleet.processes():
             process.start(first_start=True)
         for i in range(10):
-            self.add_server(i + 1, "alpha" if i % 2 else "beta")
+            self.add_server(i + 1, "alpha" if i % 2 else "beta", warmup_s=0.0)
         self.impair(self.fleet.processes(), START_S)
         self.traffic.opening = False
         self.traffic.start()
@@ -356,6 +367,8 @@
     print("odd input:", soak.odd_writer.sent)
     print("evacuation commands: %d accepted, evacuated data centres looked at "
           "%d times" % (soak.evacuations.accepted, soak.evacuations.checked))
+    print("flows to cold servers: %d, at most %d in a second (allowed: %.1f)" %
+          (soak.warmups.counted, soak.warmups.most, warmups.ALLOWED))
     if not traffic.violations:
         shutil.rmtree(soak.folder)
         return 0
--- a/Tests/Soak/fleet_traffic.py
+++ b/Tests/Soak/fleet_traffic.py
@@ -13,6 +13,7 @@
 import time
 import urllib.parse
 
+import warmups
 from fleet_processes import CALL_PORT, METRICS_PORT, PACKET_PORT, READY_PORT
 
 HEAD = struct.Struct("<IIIIIHHHBBI")
@@ -52,13 +53,16 @@
 
 
 class Server:
-    def __init__(self, traffic, number, host, port, service, zone="dc0"):
+    def __init__(self, traffic, number, host, port, service, zone="dc0",
+                 warmup_s=0.0):
         self.traffic = traffic
         self.zone = zone
         self.id = "i-%08x" % number
         self.number = number
         self.host, self.port, self.service = host, port, service
         self.born = int(time.time() * 1000)
+        self.name = "%s.%d" % (self.id, self.born)  # differs after a restart
+        self.cold_until = time.monotonic() + warmup_s
         self.state = "ready"
         self.sequence = 0
         self.endpoint = None
@@ -76,6 +80,9 @@
         self.traffic.selector.unregister(self.socket)
         self.socket.close()
 
+    def warmup_remaining_ms(self):
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     def report(self):
         """One report; runs on a thread of the pool."""
         if not self.alive:
@@ -85,8 +92,8 @@
         body = {"Service": self.service, "ConcurrencyLimit": 4,
                 "Address": "%s:%d" % (self.host, self.port),
                 "Zone": self.zone, "Version": "v1", "State": state,
-                "WarmupRemainingMs": 0, "Sequence": self.sequence,
-                "born": self.born}
+                "WarmupRemainingMs": self.warmup_remaining_ms(),
+                "Sequence": self.sequence, "born": self.born}
         host = self.endpoint or random.choice(self.traffic.fleet.controls).host
         status, data = call(host, CALL_PORT, "POST",
                             "/api/Instances.Heartbeat/" + self.id, body)
@@ -134,7 +141,7 @@
         body = data[40:]
         if body:
             traffic.runs += 1
-            self.answer(head, ACK, b"%s %s" % (body, self.id.encode()))
+            self.answer(head, ACK, b"%s %s" % (body, self.name.encode()))
 
     def check_opening(self, address, sender):
         now = time.monotonic()
@@ -280,7 +287,7 @@
         return True
 
     def lost_flow(self, flow):
-        server = next((s for s in self.servers if s.id == flow.server), None)
+        server = next((s for s in self.servers if s.name == flow.server), None)
         self.lost += 1
         if server is not None and server.alive and server.state == "ready":
             self.violate("an open flow on %s was not answered" % server.id)
@@ -366,7 +373,9 @@
                    for i in range(version % 40)]
         return {"Version": version, "Routes": routes,
                 "Services": [{"Name": name, "HealthCheckPath": "/health",
-                              "MaxFlows": 100, "Protocol": "h1", "Tls": False}
+                              "MaxFlows": 100, "Protocol": "h1", "Tls": False,
+                              "WarmupS": warmups.DURATION_S,
+                              "WarmupPerS": warmups.RATE}
                              for name in ("alpha", "beta")]}
 
     def newest_before(self, when):
--- /dev/null
+++ b/Tests/Soak/warmups.py
@@ -0,0 +1,31 @@
+"""The load limit of servers that have just started, and the check of what they
+get meanwhile."""
+import collections
+import time
+
+DURATION_S = 4.0
+RATE = 1.0  # flows a second, a server
+ALLOWED = RATE * 1.5 + 5
+
+
+class Warmups:
+    def __init__(self, traffic):
+        self.traffic = traffic
+        self.openings = {}  # server -> times within the last second
+        self.counted = self.most = 0
+
+    def check_opening(self, server, sender):
+        """Called for each opening packet that a server gets."""
+        now = time.monotonic()
+        if now >= server.cold_until:
+            return
+        times = self.openings.setdefault(server.name, collections.deque())
+        times.append(now)
+        while now - times[0] >= 1.0:
+            times.popleft()
+        self.counted += 1
+        self.most = max(self.most, len(times))
+        if len(times) > ALLOWED:
+            self.traffic.violate(
+                "%s got %d flows in a second while it warms up, the last from "
+                "%s" % (server.name, len(times), sender))
