--- a/Tests/Soak/fleet_traffic.py
+++ b/Tests/Soak/fleet_traffic.py
@@ -376,8 +376,7 @@
         return {"Version": version, "Routes": routes,
                 "Services": [{"Name": name, "HealthCheckPath": "/health",
                               "MaxFlows": 100, "Protocol": "h1", "Tls": False,
-                              "WarmupS": warmups.DURATION_S,
-                              "WarmupPerS": warmups.RATE}
+                              **warmups.SERVICE_FIELDS}
                              for name in ("alpha", "beta")]}
 
     def newest_before(self, when):
--- a/Tests/Soak/warmups.py
+++ b/Tests/Soak/warmups.py
@@ -11,6 +11,11 @@
 ANNOUNCEMENT_S = 0.3
 
 
+# Fields of a service in a config. Empty for fleets with control instances of
+# builds before 0.10, which refuse rules that hold a warm-up.
+SERVICE_FIELDS = {"WarmupS": DURATION_S, "WarmupPerS": RATE}
+
+
 class Warmups:
     def __init__(self, traffic):
         self.traffic = traffic
