Fleet: Split the saved registry and the replica's log from ControlInstance

Change: RegistrySaving.cc restores and saves the registry, in short functions; ReplicaLog.cc logs leadership and voters. No change of behaviour.

--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -52,6 +52,12 @@
 /// the disk has failed.
 void RunReplica(ControlContext& context, const ControlEvent& event);
 
+/// Logs that this instance leads, or no longer does, if its role has changed
+/// since it was `before`.
+void LogLeadership(ControlContext& context, ReplicaRole before);
+/// Logs the voters if they are not those that were logged last.
+void LogVoters(ControlContext& context);
+
 /// Returns the leader to which a call can be redirected: another instance from
 /// which a heartbeat arrived recently. Returns 0 when there is none.
 InstanceAddress RedirectTarget(const ControlContext& context);
@@ -109,6 +115,15 @@
 void HandleUpdate(ControlContext& context, InstanceAddress from,
                   const wire::Update& update);
 
+/// Restores the saved registry with report times in the past, so that servers
+/// that do not report again soon are marked silent.
+void RestoreRegistry(ControlContext& context, const wire::SavedRegistry& saved);
+/// Saves the registry and the known followers if they have changed since they
+/// were saved last.
+void SaveServers(ControlContext& context);
+/// Makes the next `SaveServers` save the registry, also if it has not changed.
+void RequestSave(ControlInstance& instance);
+
 /// Logs a changed record. `source` is the control instance that sent it, or
 /// "itself" for a report of the server.
 void LogServer(ControlContext& context, const wire::ServerRecord& record,
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -1,7 +1,6 @@
 #include "Fleet/ControlInstance.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "Base/Endpoint.h"
 #include "Base/Hash.h"
@@ -17,18 +16,11 @@
 constexpr Milliseconds kRedirectMaxSilence{600};
 /// How long gone servers and subscribers without requests are kept.
 constexpr Milliseconds kGoneRetention{90000};
-constexpr Milliseconds kSaveInterval{1000};
-/// While servers warm up, the registry is also saved after this time without a
-/// change. A server counts as cold for this much too long after a restart.
-constexpr Milliseconds kWarmupSaveInterval{2000};
 constexpr Milliseconds kLease{600};
 constexpr Milliseconds kElectionJitter{250};
 /// Lower limit of the number of voters, also if no disk loss has to be
 /// tolerated.
 constexpr std::uint32_t kMinVoters = 3;
-/// No registry has this change, so the registry is saved again.
-constexpr std::uint64_t kNoSavedChange =
-    std::numeric_limits<std::uint64_t>::max();
 
 void ApplyCommittedRules(ControlContext& context) {
   ControlInstance& instance = context.instance;
@@ -83,124 +75,6 @@
   }
 };
 
-void LogLeadership(ControlContext& context, ReplicaRole before) {
-  const Replica& replica = context.instance.replica;
-  if (before == replica.role) {
-    return;
-  }
-  const std::string text =
-      "round=" + std::to_string(replica.ballot.round()) +
-      " members=" + std::to_string(replica.committed.members_size()) +
-      " seq=" + std::to_string(replica.committed.seq()) +
-      " inherited_seq=" + std::to_string(replica.inherited_seq);
-  if (replica.role == ReplicaRole::kLeader) {
-    context.instance.counters.elections_won += 1;
-    Log(context, EventId::kLeaderElected, text);
-  } else if (before == ReplicaRole::kLeader) {
-    Log(context, EventId::kLeadershipLost, text, Severity::kWarning);
-  }
-}
-
-/// Returns the addresses of the voters in the committed state.
-std::string FormatVoters(const wire::ControlState& state) {
-  std::string text;
-  for (const wire::Member& member : state.members()) {
-    text += (text.empty() ? "" : ",") + FormatIp(member.instance());
-  }
-  return text;
-}
-
-void LogVoters(ControlContext& context) {
-  const wire::ControlState& state = context.instance.replica.committed;
-  std::string voters = FormatVoters(state);
-  if (voters == context.instance.logged_voters) {
-    return;
-  }
-  Log(context, EventId::kVotersChanged,
-      "voters=" + voters + " before=" + context.instance.logged_voters +
-          " seq=" + std::to_string(state.seq()));
-  context.instance.logged_voters = std::move(voters);
-}
-
-/// Restores the saved registry with report times in the past, so that servers
-/// that do not report again soon are marked silent.
-void RestoreRegistry(ControlContext& context,
-                     const wire::SavedRegistry& saved) {
-  ControlInstance& instance = context.instance;
-  const TimePoint reported_at =
-      context.now - instance.config.announce_interval *
-                        (kIntervalsUntilSilent - kIntervalsUntilSettled);
-  auto servers = saved.servers();
-  SetAsideRecords set_aside;
-  CheckServers(servers, set_aside);
-  ReportSetAside(context, set_aside, "disk");
-  for (wire::ServerRecord& record : servers) {
-    record.set_failing(false);  // Flow outcomes are not saved.
-    record.set_slowness_percent(0);
-    if (record.warmup_ms() > 0) {
-      // The saved time is what is left now, though the report is dated back.
-      const std::int64_t warmup_ms =
-          record.warmup_ms() + MillisecondsBetween(reported_at, context.now);
-      record.set_warmup_ms(static_cast<std::uint32_t>(
-          std::min<std::int64_t>(warmup_ms, kMaxWarmup.count())));
-    }
-    MergeServerRecord(instance.registry, record, reported_at);
-  }
-  instance.settled = !instance.registry.servers.empty();
-  for (const InstanceAddress follower : saved.followers()) {
-    if (follower != 0 && instance.previous_followers.size() < kMaxSubscribers) {
-      instance.previous_followers.insert(follower);
-    }
-  }
-  instance.saved_followers = instance.previous_followers;
-  for (const InstanceAddress other : saved.control_instances()) {
-    if (RegistrySource* source = AddSource(context, other)) {
-      source->heard_at = context.now;
-      instance.saved_control_instances.insert(other);
-    }
-  }
-  instance.saved_change = instance.registry.change;
-}
-
-void SaveServers(ControlContext& context) {
-  ControlInstance& instance = context.instance;
-  instance.next_save_at = context.now + kSaveInterval;
-  std::set<InstanceAddress> followers = ActiveFollowers(instance, context.now);
-  // A set that has only shrunk is not saved: shortly after a start, few
-  // followers have subscribed again, and the saved ones are still notified.
-  const bool no_new_follower = std::includes(
-      instance.saved_followers.begin(), instance.saved_followers.end(),
-      followers.begin(), followers.end());
-  std::set<InstanceAddress> others =
-      OtherControlInstances(instance, context.now);
-  const bool unchanged = instance.saved_change == instance.registry.change &&
-                         instance.saved_control_instances == others &&
-                         context.now < instance.warmups_outdated_at;
-  if (unchanged && no_new_follower) {
-    return;
-  }
-  instance.saved_change = instance.registry.change;
-  instance.saved_followers = followers;
-  SaveRegistry effect;
-  for (const InstanceAddress follower : followers) {
-    effect.saved.add_followers(follower);
-  }
-  for (const InstanceAddress other : others) {
-    effect.saved.add_control_instances(other);
-  }
-  instance.saved_control_instances = std::move(others);
-  RecordBatch all = RecordsAfter(instance.registry, 0,
-                                 instance.registry.servers.size(), context.now);
-  instance.warmups_outdated_at = TimePoint::max();
-  for (wire::ServerRecord& record : all.records) {
-    if (record.warmup_ms() > 0) {
-      instance.warmups_outdated_at = context.now + kWarmupSaveInterval;
-    }
-    *effect.saved.add_servers() = std::move(record);
-  }
-  context.effects.emplace_back(std::move(effect));
-}
-
 void HandleTick(ControlContext& context) {
   ControlInstance& instance = context.instance;
   RunReplica(context, ControlTick{});
@@ -329,7 +203,7 @@
     RetryEvacuationOrders(this->context);
   }
   void operator()(const RegistryNotSaved&) {
-    this->context.instance.saved_change = kNoSavedChange;
+    RequestSave(this->context.instance);
   }
   void operator()(const ControlDiskRestored& event) {
     ControlInstance& instance = this->context.instance;
