--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -61,6 +61,17 @@
   TimePoint heard_at;  ///< When its last message was received.
 };
 
+/// Counts of a leader that show why an instance does not become a voter.
+struct MembershipCounters {
+  /// Join requests of instances that lacked committed entries.
+  std::uint64_t joins_behind = 0;
+  /// Join requests of instances that had all committed entries.
+  std::uint64_t joins_up_to_date = 0;
+  /// How often a change to the voters was due and had to wait, as another
+  /// change was being proposed.
+  std::uint64_t changes_deferred = 0;
+};
+
 /// The search, after a restart, for leases that may still be in force. It ends
 /// when the replica follows a leader or takes part in an election.
 struct LeaseRecovery {
@@ -107,6 +118,7 @@
   /// When the leader last received a message from each voter.
   std::map<std::uint32_t, TimePoint> voter_heard_at;
   std::map<std::uint32_t, Standby> standbys;  ///< Leader only.
+  MembershipCounters membership;
   /// Number of the entry that this leader took over uncommitted, or else of its
   /// last committed one when it was elected. An earlier leader may have
   /// committed the entries up to it.
--- a/Source/Control/ReplicaMembers.cc
+++ b/Source/Control/ReplicaMembers.cc
@@ -85,13 +85,18 @@
   std::erase_if(replica.standbys, [&](const auto& item) {
     return context.now - item.second.heard_at > kStandbyTimeout;
   });
-  if (!replica.config.open_membership || replica.proposing ||
-      !HasLease(replica, context.now)) {
+  if (!replica.config.open_membership || !HasLease(replica, context.now)) {
     return;
   }
-  if (const auto change = PlanVoterChange(BuildMembershipStatus(context))) {
-    ProposeMemberChange(context, *change);
+  const auto change = PlanVoterChange(BuildMembershipStatus(context));
+  if (!change) {
+    return;
+  }
+  if (replica.proposing) {
+    replica.membership.changes_deferred += 1;
+    return;
   }
+  ProposeMemberChange(context, *change);
 }
 
 void HandleStandbyAck(ReplicaContext& context, std::uint32_t from,
@@ -132,6 +137,8 @@
       IsVoter(replica.committed, request.instance, request.incarnation);
   const bool caught_up =
       request.has_state && request.committed_seq >= replica.committed.seq();
+  (caught_up ? replica.membership.joins_up_to_date
+             : replica.membership.joins_behind) += 1;
   if (already_voter || !caught_up) {
     // A candidate sends the state as well, since an instance that does not know
     // yet that it has become a voter grants no promise.
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -57,6 +57,9 @@
 void LogLeadership(ControlContext& context, ReplicaRole before);
 /// Logs the voters if they are not those that were logged last.
 void LogVoters(ControlContext& context);
+/// Logs the standbys of this leader that were added or removed since the last
+/// call.
+void LogStandbys(ControlContext& context);
 
 /// Returns the leader to which a call can be redirected: another instance from
 /// which a heartbeat arrived recently. Returns 0 when there is none.
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -253,6 +253,7 @@
     std::visit(ReplicaVisitor{.context = context}, effect);
   }
   LogLeadership(context, before);
+  LogStandbys(context);
   CatchUp(context);
   if (instance.replica.committed.seq() != seq_before) {
     LogVoters(context);
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -145,6 +145,8 @@
   WarmupGrants warmup;
   ServerSpeeds speeds;
   std::string logged_voters;  ///< Voters as last logged.
+  /// Standbys of this leader as last logged: incarnations by instance.
+  std::map<std::uint32_t, std::uint64_t> logged_standbys;
   std::uint64_t next_token = 1;
   TimePoint started_at;
   /// Next request to the other control instances.
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -86,6 +86,24 @@
            "Ready backend servers that work more slowly than others.", slow);
 }
 
+/// Metrics that show why a control instance does not become a voter.
+void AddMembershipMetrics(Samples& samples, const Replica& replica) {
+  AddGauge(samples, "voters", "Voting control instances.",
+           replica.committed.members_size());
+  AddGauge(samples, "standbys",
+           "Control instances that follow this leader and do not vote.",
+           static_cast<double>(replica.standbys.size()));
+  const std::string help =
+      "Requests to become a voter, by whether the sender had all entries.";
+  AddCounter(samples, "join_requests_total", help,
+             replica.membership.joins_behind, "behind");
+  AddCounter(samples, "join_requests_total", help,
+             replica.membership.joins_up_to_date, "up_to_date");
+  AddCounter(samples, "voter_changes_deferred_total",
+             "Times that a change to the voters waited for another change.",
+             replica.membership.changes_deferred);
+}
+
 /// Metrics of the setting `balance_by_load`, as of the last new flows.
 void AddBalanceMetrics(Samples& samples, const Placement& placement) {
   double max_load = 1;
@@ -307,8 +325,7 @@
   // Deprecated name of `in_sync`, for the alerts that operators have on it.
   AddGauge(samples, "in_touch", "Deprecated: the same as in_sync.",
            instance.in_sync ? 1 : 0);
-  AddGauge(samples, "voters", "Voting control instances.",
-           replica.committed.members_size());
+  AddMembershipMetrics(samples, replica);
   AddGauge(samples, "rules_version", "Version of the rules in force.",
            static_cast<double>(replica.committed.rules().version()));
   AddGauge(samples, "committed_entries", "Committed entries of the log.",
--- a/Source/Fleet/ReplicaLog.cc
+++ b/Source/Fleet/ReplicaLog.cc
@@ -14,6 +14,16 @@
   return text;
 }
 
+/// Returns the incarnations of the leader's standbys, by instance.
+std::map<std::uint32_t, std::uint64_t> StandbyIncarnations(
+    const Replica& replica) {
+  std::map<std::uint32_t, std::uint64_t> incarnations;
+  for (const auto& [instance, standby] : replica.standbys) {
+    incarnations.emplace(instance, standby.incarnation);
+  }
+  return incarnations;
+}
+
 }  // namespace
 
 void LogLeadership(ControlContext& context, ReplicaRole before) {
@@ -46,4 +56,32 @@
   context.instance.logged_voters = std::move(voters);
 }
 
+void LogStandbys(ControlContext& context) {
+  const Replica& replica = context.instance.replica;
+  auto& logged = context.instance.logged_standbys;
+  auto standbys = StandbyIncarnations(replica);
+  if (standbys == logged) {
+    return;
+  }
+  for (const auto& [instance, incarnation] : logged) {
+    const auto known = standbys.find(instance);
+    if (known == standbys.end() || known->second != incarnation) {
+      Log(context, EventId::kStandbyRemoved,
+          "standby=" + FormatIp(instance) +
+              " incarnation=" + std::to_string(incarnation));
+    }
+  }
+  for (const auto& [instance, incarnation] : standbys) {
+    const auto known = logged.find(instance);
+    if (known == logged.end() || known->second != incarnation) {
+      Log(context, EventId::kStandbyAdded,
+          "standby=" + FormatIp(instance) +
+              " incarnation=" + std::to_string(incarnation) + " seq=" +
+              std::to_string(replica.standbys.at(instance).committed_seq) +
+              " leader_seq=" + std::to_string(replica.committed.seq()));
+    }
+  }
+  logged = std::move(standbys);
+}
+
 }  // namespace filbertwall
