Fleet: Log a server that shares its token with another one

No record told whether the entry instances differ in the owner of a token, know no server for it, or place the flow again. No change of behaviour. FleetTest passed.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -51,6 +51,7 @@
   kServerSlownessChanged = 3025,
   kDataCentreDiverted = 3026,
   kDataCentreNotDiverted = 3027,
+  kTokenShared = 3028,
   kOrderRecordsRestored = 4001,
   kMalformedInput = 5001,
   kRecordSetAside = 5002,
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -37,6 +37,18 @@
   instance.forwarder.serving = serving;
 }
 
+/// Logs that a server that has just become known shares its token.
+void LogSharedToken(EntryContext& context, const std::string& id) {
+  const Placement& placement = context.instance.forwarder.placement;
+  const ServerIndex index = placement.by_id.at(id);
+  if (const auto other = FindSharingServer(placement, index)) {
+    Log(context, EventId::kTokenShared,
+        "server=" + id + " other=" + placement.servers[*other].id +
+            " token=" + std::to_string(placement.servers[index].token),
+        Severity::kWarning);
+  }
+}
+
 /// Returns whether a record has changed.
 bool MergeServers(EntryContext& context, InstanceAddress from,
                   const wire::Update& update) {
@@ -51,6 +63,8 @@
       continue;
     }
     changed = true;
+    const bool added =
+        !instance.forwarder.placement.by_id.contains(record.id());
     UpdateServer(instance.forwarder.placement, record, context.now);
     Log(context, EventId::kServerChanged,
         "server=" + record.id() + " service=" + record.service() +
@@ -58,6 +72,9 @@
             " silent=" + std::to_string(record.silent()) +
             " incarnation=" + std::to_string(record.incarnation()) +
             " sequence=" + std::to_string(record.sequence()));
+    if (added) {
+      LogSharedToken(context, record.id());
+    }
   }
   if (changed) {
     RefreshUsable(instance.forwarder.placement);
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -458,6 +458,12 @@
   return found->second;
 }
 
+std::optional<ServerIndex> FindSharingServer(const Placement& placement,
+                                             ServerIndex index) {
+  const auto owner = FindByToken(placement, placement.servers[index].token);
+  return owner == index ? std::nullopt : owner;
+}
+
 void RecordOpening(PlacedServer& server, TimePoint now) {
   server.in_flight += 1;
   if (server.pending_openings == 0) {
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -224,6 +224,10 @@
 std::optional<ServerIndex> FindByToken(const Placement& placement,
                                        std::uint32_t token);
 
+/// Returns another server with the token of this one; empty when there is none.
+std::optional<ServerIndex> FindSharingServer(const Placement& placement,
+                                             ServerIndex index);
+
 /// Records that an opening packet is sent to the server.
 void RecordOpening(PlacedServer& server, TimePoint now);
 /// Records that the server has accepted a flow, as shown by a later packet of
