Node: Settle orders in a new deployment however soon its rules come

Cause: a recorder is complete in a new deployment if a majority of voters had no rules after its start. Voters noted that with their hellos only, each 0.4 s, and hellos sent before the connection exists are lost. Change: the time without rules is noted at each tick and before newly committed rules are applied; hellos go each 50 ms, for at most 2 s, to peers that do not know this process yet, and a new process is answered at once.

--- a/Source/Node/Node.cc
+++ b/Source/Node/Node.cc
@@ -72,6 +72,7 @@
     RunReplica(context, ControlTick{});
   }
   CheckPeerTimeouts(context);
+  RecordTimeWithoutRules(node);
   SendHellos(context);
   ConfirmRules(context);
   PullRecords(context);
@@ -222,6 +223,7 @@
     this->context.effects.emplace_back(PersistControl{.record = effect.record});
   }
   void operator()(const ControlStateChanged&) {
+    RecordTimeWithoutRules(this->context.node);
     ApplyRulesFile(this->context, this->context.node.replica.committed.rules());
   }
   void operator()(const ControlVerdict& effect) {
--- a/Source/Node/NodeContext.h
+++ b/Source/Node/NodeContext.h
@@ -32,6 +32,10 @@
 /// Whether this instance is a voter that stores no rules, neither committed nor
 /// pending.
 bool IsVoterWithoutRules(const Node& node);
+/// Records for this instance and each peer heard from that they ran while this
+/// instance was a voter without any rules. Runs at each tick and before newly
+/// committed rules are applied, so that no such time is missed, however short.
+void RecordTimeWithoutRules(Node& node);
 /// Puts a rules file in force if its version is higher than the current one.
 void ApplyRulesFile(NodeContext& context, const wire::RulesFile& file);
 /// Starts serving once the local rules are at least as new as those known to
--- a/Source/Node/NodePeers.cc
+++ b/Source/Node/NodePeers.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr Milliseconds kHelloInterval{400};
+/// Interval of the hellos to a peer that has not yet repeated the incarnation of
+/// this process, in the first `kFirstHellosPeriod` after the start.
+constexpr Milliseconds kFirstHelloInterval{50};
+constexpr Milliseconds kFirstHellosPeriod{2000};
 /// Number of consecutive hellos after which a peer counts as alive.
 constexpr std::uint32_t kHellosUntilAlive = 2;
 /// Number of consecutive hellos with a different digest after which the
@@ -44,18 +48,6 @@
   SendPeer(context, to, std::move(envelope));
 }
 
-/// Records for this instance and each peer heard from that they ran while this
-/// instance was a voter without any rules.
-void RecordTimeWithoutRules(Node& node) {
-  if (!IsVoterWithoutRules(node)) {
-    return;
-  }
-  node.started_before_rules = true;
-  for (auto& [id, peer] : node.peers) {
-    peer.heard_before_rules = peer.heard_before_rules || peer.heard;
-  }
-}
-
 void UpdateKnownLeader(NodeContext& context, std::uint32_t from,
                        const wire::Hello& hello) {
   Node& node = context.node;
@@ -113,6 +105,7 @@
 void RecordHello(NodeContext& context, Peer& peer, const wire::Hello& hello) {
   const bool restarted = peer.heard && peer.hello.incarnation() != 0 &&
                          hello.incarnation() != peer.hello.incarnation();
+  const bool first = restarted || !peer.heard;
   if (restarted) {
     peer.consecutive_hellos = 0;
     peer.records_pulled = false;
@@ -139,16 +132,45 @@
     peer.alive = false;
     context.node.silent.insert(peer.settings.id);
   }
+  if (first) {
+    SendHello(context, peer.settings.id);
+  }
+}
+
+/// Hellos that are sent before the connection exists are lost. Until a peer has
+/// repeated the incarnation of this process, they are sent more often.
+void SendFirstHellos(NodeContext& context) {
+  Node& node = context.node;
+  if (context.now < node.next_first_hello_at ||
+      context.now - node.started_at > kFirstHellosPeriod) {
+    return;
+  }
+  node.next_first_hello_at = context.now + kFirstHelloInterval;
+  for (const auto& [id, peer] : node.peers) {
+    if (peer.hello.heard_incarnation() != node.incarnation) {
+      SendHello(context, id);
+    }
+  }
 }
 
 }  // namespace
 
+void RecordTimeWithoutRules(Node& node) {
+  if (!IsVoterWithoutRules(node)) {
+    return;
+  }
+  node.started_before_rules = true;
+  for (auto& [id, peer] : node.peers) {
+    peer.heard_before_rules = peer.heard_before_rules || peer.heard;
+  }
+}
+
 void SendHellos(NodeContext& context) {
   Node& node = context.node;
+  SendFirstHellos(context);
   if (context.now < node.next_hello_at) {
     return;
   }
-  RecordTimeWithoutRules(node);
   if (node.has_replica && HasNewestState(node.replica, context.now)) {
     node.known_leader = node.settings.id;
   } else if (node.known_leader == node.settings.id) {
--- a/Source/Node/NodeRules.cc
+++ b/Source/Node/NodeRules.cc
@@ -81,6 +81,7 @@
   const bool pending = node.replica.uncommitted &&
                        node.replica.uncommitted->change().has_rules();
   return node.has_replica && IsVoter(node.replica) && !pending &&
+         node.replica.committed.rules().version() == 0 &&
          node.rules_file.version() == 0;
 }
 
