Placement: Give servers whose ids share a token another one

Cause: the first record to arrive owned the token, and records arrive in the order of their last change. Change: a server has a second token, a hash of its id. Flows carry the first token that no other known server has, and an instance finds a server by either. Packets with a shared token follow the instance's own record of the flow, else a rank that all instances share (live, silent, gone; earlier incarnation; id). Why it works: tokens follow from the id, so no order of records changes them; flows opened while both servers are known have a token of one server only. The test Placement.ExcludesAServerWhoseTokenIsTaken asserted the faulty design (the second server gets no flows).

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -52,6 +52,7 @@
   kDataCentreDiverted = 3026,
   kDataCentreNotDiverted = 3027,
   kTokenShared = 3028,
+  kTokenMissing = 3029,
   kOrderRecordsRestored = 4001,
   kMalformedInput = 5001,
   kRecordSetAside = 5002,
--- a/Source/Fleet/EntryInstance.cc
+++ b/Source/Fleet/EntryInstance.cc
@@ -37,16 +37,33 @@
   instance.forwarder.serving = serving;
 }
 
-/// Logs that a server that has just become known shares its token.
-void LogSharedToken(EntryContext& context, const std::string& id) {
+/// Logs that a server gets no new flows if it has no token.
+void LogMissingToken(EntryContext& context, const PlacedServer& server) {
+  if (server.token == kNoToken) {
+    Log(context, EventId::kTokenMissing, "server=" + server.id,
+        Severity::kWarning);
+  }
+}
+
+/// Logs the tokens that a new server shares with others.
+void LogSharedTokens(EntryContext& context, const std::string& id) {
   const Placement& placement = context.instance.forwarder.placement;
-  const ServerIndex index = placement.by_id.at(id);
-  if (const auto other = FindSharingServer(placement, index)) {
+  const PlacedServer& server = placement.servers[placement.by_id.at(id)];
+  for (const std::uint32_t token : TokensOf(server.id, server.number)) {
+    const auto sharing = FindServers(placement.tokens, token);
+    if (sharing.size() < 2) {
+      continue;
+    }
+    const PlacedServer& first = placement.servers[sharing.front()];
     Log(context, EventId::kTokenShared,
-        "server=" + id + " other=" + placement.servers[*other].id +
-            " token=" + std::to_string(placement.servers[index].token),
-        Severity::kWarning);
+        "server=" + id + " other=" + first.id +
+            " token=" + std::to_string(token) +
+            " servers=" + std::to_string(sharing.size()));
+    if (sharing.size() == 2) {
+      LogMissingToken(context, first);
+    }
   }
+  LogMissingToken(context, server);
 }
 
 /// Returns whether a record has changed.
@@ -64,8 +81,7 @@
     }
     changed = true;
     const bool added =
-        !instance.forwarder.placement.by_id.contains(record.id());
-    UpdateServer(instance.forwarder.placement, record, context.now);
+        UpdateServer(instance.forwarder.placement, record, context.now);
     Log(context, EventId::kServerChanged,
         "server=" + record.id() + " service=" + record.service() +
             " phase=" + wire::ServerPhase_Name(record.phase()) +
@@ -73,7 +89,7 @@
             " incarnation=" + std::to_string(record.incarnation()) +
             " sequence=" + std::to_string(record.sequence()));
     if (added) {
-      LogSharedToken(context, record.id());
+      LogSharedTokens(context, record.id());
     }
   }
   if (changed) {
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -225,6 +225,27 @@
              counters.evacuations_unavailable, "unavailable");
 }
 
+/// Metrics of tokens that several backend servers have.
+void AddTokenMetrics(Samples& samples, const Forwarder& forwarder) {
+  const Placement& placement = forwarder.placement;
+  AddGauge(samples, "shared_tokens",
+           "Tokens that several backend servers known here have.",
+           static_cast<double>(placement.tokens.shared.size()));
+  const auto without_token = std::count_if(
+      placement.servers.begin(), placement.servers.end(),
+      [](const PlacedServer& server) { return server.token == kNoToken; });
+  AddGauge(samples, "servers_without_token",
+           "Backend servers that get no new flows, as others have all of their "
+           "tokens.",
+           static_cast<double>(without_token));
+  const std::string help =
+      "Packets with such a token, by whether their flow was opened here.";
+  AddCounter(samples, "shared_token_packets_total", help,
+             forwarder.counters.shared_token_own, "own");
+  AddCounter(samples, "shared_token_packets_total", help,
+             forwarder.counters.shared_token_other, "other");
+}
+
 /// Adds what was decided on packets of callers.
 void AddPacketMetrics(Samples& samples, const Forwarder& forwarder,
                       std::uint64_t malformed_packets) {
@@ -247,6 +268,7 @@
              "unknown_token");
   AddCounter(samples, "packets_total", packets_help, malformed_packets,
              "malformed");
+  AddTokenMetrics(samples, forwarder);
   const std::string held_help =
       "Opening packets that came before this instance served.";
   AddCounter(samples, "held_openings_total", held_help, forwarder.held.released,
--- a/Source/Forwarding/Forwarder.cc
+++ b/Source/Forwarding/Forwarder.cc
@@ -284,6 +284,27 @@
   }
 }
 
+/// Returns the server of the flow of a packet after the opening one; empty when
+/// no known server has its token. If several have it, the flow's record shows
+/// which one, unless another instance opened the flow.
+std::optional<ServerIndex> FindServer(Forwarder& forwarder,
+                                      const FlowPacket& packet) {
+  const std::span<const ServerIndex> servers =
+      FindServers(forwarder.placement.tokens, packet.token);
+  if (servers.size() <= 1) {
+    return servers.empty() ? std::nullopt : std::optional(servers.front());
+  }
+  const auto flow = forwarder.flows.find(packet.key);
+  if (flow != forwarder.flows.end() &&
+      std::find(servers.begin(), servers.end(), flow->second.server) !=
+          servers.end()) {
+    forwarder.counters.shared_token_own += 1;
+    return flow->second.server;
+  }
+  forwarder.counters.shared_token_other += 1;
+  return MostLikelyServer(forwarder.placement, servers);
+}
+
 }  // namespace
 
 Decision DecidePacket(Forwarder& forwarder, const FlowPacket& packet,
@@ -299,6 +320,8 @@
   }
   DiscardOpening(forwarder.held, packet.key);
   DiscardLateOpening(forwarder.late, packet.key);
+  // Before the packet ends the record of the flow.
+  const std::optional<ServerIndex> server = FindServer(forwarder, packet);
   TrackPacket(forwarder, packet, now);
   if (forwarder.routes.dropped.contains(KeyOf(packet.key.address))) {
     forwarder.counters.no_route += 1;
@@ -307,7 +330,6 @@
     return packet.aborts ? Drop(ForwardReason::kRouteDropped)
                          : Reset(ForwardReason::kRouteDropped);
   }
-  const auto server = FindByToken(forwarder.placement, packet.token);
   if (!server || forwarder.placement.servers[*server].address.ip == 0) {
     forwarder.counters.unknown_token += 1;
     return Drop(ForwardReason::kUnknownToken);
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -90,6 +90,10 @@
   std::uint64_t placed_again = 0;
   std::uint64_t no_route = 0;
   std::uint64_t unknown_token = 0;
+  /// Packets whose token several servers have, and whose flow was opened here.
+  std::uint64_t shared_token_own = 0;
+  /// Such packets of other flows, sent to the most likely server.
+  std::uint64_t shared_token_other = 0;
   std::uint64_t no_server = 0;
   std::uint64_t no_server_in_region = 0;
   std::uint64_t overload = 0;
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -79,7 +79,7 @@
   TimePoint stop_deadline;  ///< Latest end of a graceful stop.
   TimePoint next_hello_at;
   TimePoint next_first_hello_at;  ///< To peers that do not know this process.
-  TimePoint next_peer_check_at;  ///< Next check of the peers' timeouts.
+  TimePoint next_peer_check_at;   ///< Next check of the peers' timeouts.
   TimePoint next_housekeeping_at;
   TimePoint next_rules_pull_at;    ///< Earliest next request for newer rules.
   TimePoint next_records_pull_at;  ///< Next request for order records.
--- a/Source/Node/NodePeers.cc
+++ b/Source/Node/NodePeers.cc
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr Milliseconds kHelloInterval{400};
-/// Interval of the hellos to a peer that has not yet repeated the incarnation of
-/// this process, in the first `kFirstHellosPeriod` after the start.
+/// Interval of the hellos to a peer that has not yet repeated the incarnation
+/// of this process, in the first `kFirstHellosPeriod` after the start.
 constexpr Milliseconds kFirstHelloInterval{50};
 constexpr Milliseconds kFirstHellosPeriod{2000};
 /// Number of consecutive hellos after which a peer counts as alive.
--- a/Source/Placement/Placement.cc
+++ b/Source/Placement/Placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <tuple>
 
 #include "Base/Hash.h"
 #include "Placement/LoadDraw.h"
@@ -212,6 +213,32 @@
           placement.routed_by_service[service]);
 }
 
+void SetToken(Placement& placement, ServerIndex index) {
+  PlacedServer& server = placement.servers[index];
+  server.token =
+      ChooseToken(placement.tokens, TokensOf(server.id, server.number));
+}
+
+/// Adds a server. A server that was the only one with one of its tokens is
+/// given another one.
+void AddServer(Placement& placement, const std::string& id) {
+  const auto index = static_cast<ServerIndex>(placement.servers.size());
+  const std::uint64_t number = ParseServerNumber(id);
+  placement.servers.push_back(PlacedServer{.id = id, .number = number});
+  for (const ServerIndex owner :
+       AddTokens(placement.tokens, index, TokensOf(id, number))) {
+    SetToken(placement, owner);
+  }
+  SetToken(placement, index);
+}
+
+ServerLife LifeOf(const wire::ServerRecord& record) {
+  if (record.phase() == wire::SERVER_GONE) {
+    return ServerLife::kGone;
+  }
+  return record.silent() ? ServerLife::kSilent : ServerLife::kLive;
+}
+
 /// Returns whether no server in `latest`, the latest incarnation at each
 /// address, displaces this one.
 bool IsLatest(const std::map<Endpoint, std::uint64_t>& latest,
@@ -261,18 +288,12 @@
   return position->second;
 }
 
-void UpdateServer(Placement& placement, const wire::ServerRecord& record,
+bool UpdateServer(Placement& placement, const wire::ServerRecord& record,
                   TimePoint now) {
   const auto [position, added] = placement.by_id.emplace(
       record.id(), static_cast<ServerIndex>(placement.servers.size()));
   if (added) {
-    PlacedServer fresh{.id = record.id(),
-                       .number = ParseServerNumber(record.id())};
-    fresh.token = static_cast<std::uint32_t>(fresh.number);
-    placement.servers.push_back(fresh);
-    // When two servers have the same token, the first one keeps it and
-    // RefreshUsable excludes the other.
-    placement.by_token.emplace(fresh.token, position->second);
+    AddServer(placement, record.id());
   }
   PlacedServer& server = placement.servers[position->second];
   const bool restarted = record.incarnation() != server.incarnation;
@@ -285,9 +306,10 @@
     server.avoid_until = {};
     server.mean_duration_ms = 0;
   }
+  server.life = LifeOf(record);
   if (record.phase() == wire::SERVER_GONE && record.ip() == 0) {
     server.usable = false;
-    return;
+    return added;
   }
   server.address = Endpoint{.ip = record.ip(),
                             .port = static_cast<std::uint16_t>(record.port())};
@@ -308,6 +330,7 @@
   server.usable = record.phase() == wire::SERVER_READY && !record.silent();
   server.failing = record.failing();
   server.slowness = SlownessFactor(placement.config, record);
+  return added;
 }
 
 void SetEvacuated(Placement& placement, std::set<std::string> names,
@@ -344,8 +367,8 @@
   }
   for (ServerIndex i = 0; i < placement.servers.size(); ++i) {
     const PlacedServer& server = placement.servers[i];
-    const bool owns_token = placement.by_token.at(server.token) == i;
-    if (!server.usable || !owns_token || !IsLatest(latest, server)) {
+    const bool has_token = server.token != kNoToken;
+    if (!server.usable || !has_token || !IsLatest(latest, server)) {
       continue;
     }
     if (placement.data_centres[server.data_centre].evacuated) {
@@ -449,19 +472,15 @@
   return best;
 }
 
-std::optional<ServerIndex> FindByToken(const Placement& placement,
-                                       std::uint32_t token) {
-  const auto found = placement.by_token.find(token);
-  if (found == placement.by_token.end()) {
-    return std::nullopt;
-  }
-  return found->second;
-}
-
-std::optional<ServerIndex> FindSharingServer(const Placement& placement,
-                                             ServerIndex index) {
-  const auto owner = FindByToken(placement, placement.servers[index].token);
-  return owner == index ? std::nullopt : owner;
+ServerIndex MostLikelyServer(const Placement& placement,
+                             std::span<const ServerIndex> servers) {
+  return *std::min_element(
+      servers.begin(), servers.end(), [&](ServerIndex left, ServerIndex right) {
+        const PlacedServer& first = placement.servers[left];
+        const PlacedServer& second = placement.servers[right];
+        return std::tie(first.life, first.incarnation, first.id) <
+               std::tie(second.life, second.incarnation, second.id);
+      });
 }
 
 void RecordOpening(PlacedServer& server, TimePoint now) {
--- a/Source/Placement/Placement.h
+++ b/Source/Placement/Placement.h
@@ -13,6 +13,7 @@
 #include "Base/Endpoint.h"
 #include "Base/Time.h"
 #include "Placement/DataCentreLoad.h"
+#include "Placement/ServerTokens.h"
 #include "Warmup/WarmupBudget.h"
 #include "Wire/registry.pb.h"
 
@@ -23,17 +24,20 @@
 /// last. Plain state and pure functions; not thread safe.
 namespace filbertwall {
 
-using ServerIndex = std::uint32_t;
 using ServiceIndex = std::uint32_t;
 
+/// Whether a server may still hold flows, by its record. The better one comes
+/// first.
+enum class ServerLife : std::uint8_t { kLive, kSilent, kGone };
+
 /// The state of a backend server at one entry instance.
 struct PlacedServer {
   std::string id;
   /// `ParseServerNumber(id)`; written to the header of forwarded datagrams.
   std::uint64_t number = 0;
-  /// Identifies the server in each packet of its flows; the low 32 bits of
-  /// `number`.
-  std::uint32_t token = 0;
+  /// Written into the packets of its flows; `kNoToken` if other servers have
+  /// all of its tokens. It is then not chosen.
+  std::uint32_t token = kNoToken;
   Endpoint address;
   ServiceIndex service = 0;
   std::uint32_t data_centre = 0;  ///< Index into `data_centres`.
@@ -44,6 +48,7 @@
   /// Fails a larger share of its requests than the other servers of its
   /// service.
   bool failing = false;
+  ServerLife life = ServerLife::kLive;
   /// Duration of its flows in units of that of its service, as the control
   /// instances found it; 1: as usual. It fits before the next member, since
   /// larger servers take longer to compare.
@@ -112,7 +117,7 @@
   /// Names of the evacuated data centres, also of those without servers.
   std::set<std::string> evacuated;
   std::unordered_map<std::string, ServerIndex> by_id;
-  std::unordered_map<std::uint32_t, ServerIndex> by_token;
+  ServerTokens tokens;
   std::unordered_map<std::string, ServiceIndex> services;
   /// Servers that may be chosen, by service.
   std::vector<std::vector<ServerIndex>> usable_by_service;
@@ -146,9 +151,9 @@
 /// Returns the index of a service; adds the service when its name is unknown.
 ServiceIndex InternService(Placement& placement, const std::string& name);
 
-/// Adds or updates a server. Precondition: `record` is the result of merging
-/// all records of its id in the registry.
-void UpdateServer(Placement& placement, const wire::ServerRecord& record,
+/// Adds or updates a server. Returns whether it is added. Precondition:
+/// `record` is the result of merging all records of its id in the registry.
+bool UpdateServer(Placement& placement, const wire::ServerRecord& record,
                   TimePoint now);
 
 /// Replaces the set of evacuated data centres. Precondition: `now` does not
@@ -220,13 +225,12 @@
                                         const PlacementRequest& flow,
                                         TimePoint now);
 
-/// Returns the server whose flows carry `token`; empty when it is unknown.
-std::optional<ServerIndex> FindByToken(const Placement& placement,
-                                       std::uint32_t token);
-
-/// Returns another server with the token of this one; empty when there is none.
-std::optional<ServerIndex> FindSharingServer(const Placement& placement,
-                                             ServerIndex index);
+/// Returns the server that the flows with a token most likely belong to, of the
+/// ones that have it. A token is written only while one server is known to have
+/// it, so a shared one is that of the server that started first, unless that
+/// one is gone or silent. Precondition: `servers` is not empty.
+ServerIndex MostLikelyServer(const Placement& placement,
+                             std::span<const ServerIndex> servers);
 
 /// Records that an opening packet is sent to the server.
 void RecordOpening(PlacedServer& server, TimePoint now);
--- a/Source/Shell/EntryRuntime.cc
+++ b/Source/Shell/EntryRuntime.cc
@@ -254,7 +254,9 @@
     case Verdict::kForward: {
       const PlacedServer& server =
           this->instance.forwarder.placement.servers[decision.server];
-      codec.write_token(bytes, server.token);
+      if (server.token != kNoToken) {
+        codec.write_token(bytes, server.token);
+      }
       std::array<std::uint8_t, DatagramPort::kMaxPrefixBytes> head{};
       const std::size_t length = codec.write_header(server.number, head);
       this->packets.Send(server.address, std::span(head.data(), length), bytes);
--- a/Tests/Placement/PlacementTest.cc
+++ b/Tests/Placement/PlacementTest.cc
@@ -115,14 +115,6 @@
   STRCMP_EQUAL("a1", this->Choose().c_str());
 }
 
-TEST(Placement, ExcludesAServerWhoseTokenIsTaken) {
-  this->Add(MakeRecord("i-0100000001", 1, "here"));
-  this->Add(MakeRecord("i-0200000001", 2, "here"));
-  for (int i = 0; i < 50; ++i) {
-    STRCMP_EQUAL("i-0100000001", this->Choose().c_str());
-  }
-}
-
 TEST(Placement, AvoidsAnUnansweringServerForALimitedTime) {
   this->Add(MakeRecord("a1", 1, "here"));
   this->Add(MakeRecord("b2", 2, "here"));
