Tests: Voters note at once that they have no rules

Cause: with the noting at each tick taken out of the final code, the test of that fix passed, since the leader's hellos tell the same as the voters'. Change: a test in which a recorder doesn't hear the leader, so that only the other voters can tell it that no rules were accepted before its start.

--- a/Tests/Node/FoundingTest.cc
+++ b/Tests/Node/FoundingTest.cc
@@ -35,6 +35,7 @@
   TimePoint connected_at;
   std::map<std::uint32_t, Node> nodes;
   std::vector<Message> messages;
+  bool leader_is_cut_off = false;  ///< From instance 4.
 
   /// Starts the instances within 100 ms, in an order that `seed` decides. Each
   /// connects to the others `connection_time` after the last start.
@@ -80,7 +81,7 @@
     for (const NodeEffect& effect :
          Reduce(this->nodes.at(id), event, this->now)) {
       const auto* send = std::get_if<SendToPeer>(&effect);
-      if (send != nullptr && this->now >= this->connected_at) {
+      if (send != nullptr && this->Delivers(id, send->to)) {
         this->messages.push_back({.arrives_at = this->now + kDelay,
                                   .to = send->to,
                                   .envelope = send->envelope});
@@ -88,6 +89,12 @@
     }
   }
 
+  bool Delivers(std::uint32_t from, std::uint32_t to) const {
+    const bool cut = this->leader_is_cut_off && std::min(from, to) == 1 &&
+                     std::max(from, to) == 4;
+    return this->now >= this->connected_at && !cut;
+  }
+
   void Step() {
     this->now += kDelay;
     std::vector<Message> due;
@@ -156,3 +163,20 @@
     }
   }
 }
+
+/// Guards against voters that note only with their next hello, up to 0.4 s
+/// later, that they had no rules: a recorder that doesn't hear the leader
+/// learns from them that no orders can be missing.
+TEST(Founding, TheOtherVotersTellThatThereWereNoRules) {
+  this->leader_is_cut_off = true;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    this->Start(seed, Milliseconds(0));
+    this->RunUntilAllVote();
+    this->RunFor(Milliseconds(20));
+    this->SubmitRules();
+    this->RunFor(std::chrono::seconds(1));
+    const std::string name = "seed " + std::to_string(seed);
+    CHECK_EQUAL_TEXT(1, this->nodes.at(4).rules_file.version(), name.c_str());
+    LONGS_EQUAL_TEXT(0, this->CountUnsure(), name.c_str());
+  }
+}
