--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -8,12 +8,14 @@
 import json
 import os
 import pathlib
+import selectors
 import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -23,6 +25,8 @@
 READY_PORT = 8167
 PACKET_PORT = 8172
 INTERNAL_PORT = 7720
+PROXY_PORT = 7721        # of the proxy between the machines, where there is one
+PROXY_OUT_PORT = 7722
 RESERVATION_PORT = 7719
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -60,6 +64,21 @@
         print(line)
 
 
+class Quiet:
+    """A record that keeps the time of another one and writes only what breaks a rule."""
+
+    def __init__(self, record):
+        self.record = record
+
+    def now(self):
+        return self.record.now()
+
+    def write(self, text):
+        if text.startswith(("UNASKED", "server-")) and "runs" not in text and \
+                "gets SYN" not in text:
+            self.record.write(text)
+
+
 class Machine:
     """One machine: its address, zone, settings, data folder and process."""
 
@@ -95,6 +114,8 @@
                   "tolerated_losses = %d" % self.fleet.tolerated,
                   "announce_interval = %dms" % self.fleet.heartbeat_ms,
                   "metrics_port = 9464"]
+        if self.fleet.proxied:
+            lines.append("peer_port = %d" % PROXY_PORT)
         if self.fleet.evacuations:
             lines.append("balance_by_load = true")
         lines += ["regions = " + json.dumps(zones), "", "[security]",
@@ -140,11 +161,45 @@
             errors="replace")
 
 
+class PeerProxy(threading.Thread):
+    """Carries the datagrams between machines. `cut` holds the pairs (from, to) of
+    addresses between which nothing passes."""
+
+    def __init__(self, hosts):
+        super().__init__(daemon=True)
+        self.cut = set()
+        self.running = True
+        self.selector = selectors.DefaultSelector()
+        self.out = {}
+        for host in hosts:
+            inner = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            inner.bind((host, PROXY_PORT))
+            inner.setblocking(False)
+            self.selector.register(inner, selectors.EVENT_READ, host)
+            self.out[host] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self.out[host].bind((host, PROXY_OUT_PORT))
+
+    def run(self):
+        while self.running:
+            for key, _ in self.selector.select(0.01):
+                while True:
+                    try:
+                        data, (sender, _) = key.fileobj.recvfrom(4096)
+                    except OSError:
+                        break
+                    if (sender, key.data) not in self.cut and sender in self.out:
+                        try:
+                            self.out[sender].sendto(data, (key.data, INTERNAL_PORT))
+                        except OSError:
+                            pass  # The target is not listening.
+
+
 class Fleet:
     """A small deployment: control machines (class core) and entry machines."""
 
     def __init__(self, record, zones, controls, entries, tolerated=1,
-                 heartbeat_ms=1200, evacuations=False):
+                 heartbeat_ms=1200, evacuations=False, proxied=False,
+                 control_hosts=None):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.network = reserve_network()
@@ -153,16 +208,19 @@
         self.tolerated = tolerated
         self.heartbeat_ms = heartbeat_ms
         self.evacuations = evacuations
+        self.proxied = proxied
         self.machines = []
-        self.controls = [self.add("core-%d" % (i + 1), zones[i % len(zones)], True)
-                         for i in range(controls)]
+        control_hosts = control_hosts or (lambda network: [None] * controls)
+        hosts = control_hosts(self.network)
+        self.controls = [self.add("core-%d" % (i + 1), zones[i % len(zones)], True,
+                                  hosts[i]) for i in range(controls)]
         self.entries = [self.add("front-%d" % (i + 1), zones[i % len(zones)], False)
                         for i in range(entries)]
         self.seeds = [machine.address for machine in self.controls[:3]]
 
-    def add(self, name, zone, control):
-        host = "%s.%d.%d" % (self.network, 1 if control else 2,
-                             10 + len(self.machines))
+    def add(self, name, zone, control, host=None):
+        host = host or "%s.%d.%d" % (self.network, 1 if control else 2,
+                                     10 + len(self.machines))
         machine = Machine(self, name, host, zone, control)
         self.machines.append(machine)
         return machine
--- a/review/standins-3/flows.py
+++ b/review/standins-3/flows.py
@@ -144,6 +144,9 @@
         self.random = random.Random(server_id)
         self.socket = loop.add_socket(host, port, self.receive)
         self.reporting = True
+        self.state = "ready"
+        self.drain_acked_at = None
+        self.drain_acked_by = None
         self.target = None
         threading.Thread(target=self.report_forever, daemon=True).start()
 
@@ -151,21 +154,34 @@
         turn = 0
         while self.reporting:
             self.sequence += 1
+            state = self.state
             body = json.dumps({
                 "Service": self.service, "Address": "%s:%d" % (self.host, self.port),
                 "Zone": self.zone, "Version": "v1", "ConcurrencyLimit": 2,
-                "State": "ready", "WarmupRemainingMs": 0,
+                "State": state, "WarmupRemainingMs": 0,
                 "Sequence": self.sequence, "born": self.born})
             address = self.target or self.controls[turn % len(self.controls)]
             status, answer = self.post(address, body)
+            if state == "draining" and self.drain_acked_at is None:
+                self.record.write("%s reports draining to %s -> %d" % (
+                    self.name, address, status))
+                if status == 200:
+                    self.drain_acked_at = self.record.now()
+                    self.drain_acked_by = address
             if status == 200:
                 self.target = json.loads(answer or b"{}").get("HeartbeatEndpoint")
-                time.sleep(self.beat_s)
+                self.wait_for_beat(state)
             else:
                 self.target = None
                 turn += 1
                 time.sleep(0.05)
 
+    def wait_for_beat(self, state):
+        """Waits for the next report; a change of the state is reported at once."""
+        deadline = time.monotonic() + self.beat_s
+        while time.monotonic() < deadline and self.state == state:
+            time.sleep(0.02)
+
     def post(self, address, body):
         host, port = address.split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=1)
