Control: Hand the vote of an instance that is stopped to a standby

No config is read or accepted any more, for good: each instance answers 503 "no leader is known". With all three replaced it needs no loss at all.

Cause: an instance that got SIGTERM kept its vote and ended 0.3 s later. The leader replaces a voter only after 3 s of silence, so until then one of three voters was gone, though a standby was ready. A lost disk within that time left one of three, which can neither lead nor admit anyone.

Change: an instance that is stopped says so to the voters (`Leave`) until it ends. The leader treats it as a voter to be replaced at once, and confirms once a majority of the new voters has stored that. A leader resigns first: it ends its lease with its last heartbeat, and the next election starts at once. Voters beyond the least number are removed when they leave and the others would no longer tolerate the next loss. An earlier build ignores the message, and the sender ends after 1.5 s.

--- a/Source/Base/Event.h
+++ b/Source/Base/Event.h
@@ -28,6 +28,7 @@
   kStandbyAdded = 2013,
   kStandbyRemoved = 2014,
   kStandbyProgress = 2015,
+  kDeparture = 2016,
   kEvacuationAccepted = 2020,
   kEvacuationInForce = 2021,
   kEvacuationWithdrawn = 2022,
--- a/Source/Control/Replica.cc
+++ b/Source/Control/Replica.cc
@@ -51,8 +51,11 @@
 
 void HandleTick(ReplicaContext& context) {
   Replica& replica = context.replica;
+  ContinueDeparture(context);
   if (!IsVoter(replica)) {
-    RequestJoin(context);
+    if (!replica.departure.requested) {
+      RequestJoin(context);
+    }
     return;
   }
   if (replica.role == ReplicaRole::kLeader) {
@@ -65,13 +68,18 @@
   const bool without_leader =
       replica.config.open_membership &&
       context.now > replica.leaderless_since + kLeaderlessTimeout;
-  if (without_leader) {
+  if (without_leader && !replica.departure.requested) {
     // The replica may have been removed, or all voters that it knows may have
     // been replaced.
     RequestJoin(context);
   }
   ContinueLeaseRecovery(context);
-  if (context.now >= replica.next_election_at) {
+  if (context.now < replica.next_election_at) {
+    return;
+  }
+  if (replica.departure.requested) {
+    replica.next_election_at = context.now + replica.config.lease;
+  } else {
     StartElection(context);
   }
 }
@@ -87,6 +95,13 @@
          WasRemoved(replica.committed, event.from, message.incarnation());
 }
 
+/// Returns whether the message shows that its sender does not leave.
+bool IsFromStaying(const wire::ControlMessage& message) {
+  return message.has_join() || message.has_lease_query() ||
+         message.has_prepare() ||
+         (message.has_heartbeat_ack() && !message.heartbeat_ack().leaving());
+}
+
 /// Handles a message of an instance that has the state of the same cluster.
 void HandleClusterMessage(ReplicaContext& context, const ControlReceived& event,
                           bool from_voter) {
@@ -122,6 +137,12 @@
     case wire::ControlMessage::kInstall:
       HandleInstall(context, event.from, message.install());
       return;
+    case wire::ControlMessage::kLeave:
+      HandleLeave(context, event.from, message.leave());
+      return;
+    case wire::ControlMessage::kLeaveReply:
+      HandleLeaveReply(context, message.leave_reply());
+      return;
     case wire::ControlMessage::kJoin:
     case wire::ControlMessage::kLeaseQuery:
     case wire::ControlMessage::kLeaseReply:
@@ -138,6 +159,9 @@
       IsVoter(replica.committed, event.from, message.incarnation())) {
     replica.voter_heard_at[event.from] = context.now;
   }
+  if (IsFromStaying(message)) {
+    replica.leaving.erase(event.from);
+  }
   if (message.has_join()) {
     const bool other_cluster = message.cluster() != 0 &&
                                message.cluster() != replica.committed.cluster();
@@ -187,6 +211,9 @@
   void operator()(const ControlSubmitted& event) {
     HandleSubmitted(this->context, event);
   }
+  void operator()(const ControlLeave& event) {
+    StartDeparture(this->context, event);
+  }
 };
 
 }  // namespace
@@ -264,12 +291,18 @@
 }
 
 TimePoint NextDue(const Replica& replica) {
+  const TimePoint departure_due =
+      replica.departure.requested && !HasDeparted(replica)
+          ? replica.departure.next_request_at
+          : TimePoint::max();
   if (replica.role == ReplicaRole::kLeader) {
-    return replica.next_heartbeat_at;
+    return std::min(replica.next_heartbeat_at, departure_due);
+  }
+  if (IsVoter(replica)) {
+    return std::min({replica.next_election_at, replica.recovery.next_query_at,
+                     departure_due});
   }
-  return IsVoter(replica) ? std::min(replica.next_election_at,
-                                     replica.recovery.next_query_at)
-                          : replica.next_join_at;
+  return replica.departure.requested ? departure_due : replica.next_join_at;
 }
 
 bool HasFreshState(const Replica& replica, TimePoint now, Milliseconds limit) {
@@ -351,6 +384,7 @@
   replica.queue.clear();
   replica.proposing = false;
   replica.proposal_token = 0;
+  replica.leading_since.reset();
   replica.role = ReplicaRole::kFollower;
   replica.leader = 0;
   replica.leaderless_since = context.now;
@@ -358,6 +392,7 @@
   replica.last_acked_send.clear();
   replica.last_ack_sent.clear();
   replica.features.clear();
+  replica.reported_seq.clear();
   replica.voter_heard_at.clear();
   replica.standbys.clear();
   replica.next_election_at =
--- a/Source/Control/Replica.h
+++ b/Source/Control/Replica.h
@@ -92,6 +92,29 @@
   std::map<std::uint32_t, std::uint64_t> queried_by;
 };
 
+/// How the departure of a replica ended.
+enum class DepartureResult {
+  kPending,    ///< Not yet.
+  kNoVote,     ///< It does not vote, and a majority of the voters knows that.
+  kNoStandby,  ///< No standby can take over its vote, which it keeps.
+  kAlone,      ///< All other voters leave as well.
+  kNoLeader,   ///< No leader replied; it may be of a build that does not.
+  kTimeLimit,  ///< The vote was not taken over in time.
+};
+
+/// The end of a replica whose process is stopped. A standby takes over its vote
+/// before the process ends, since nobody can tell whether it will be started
+/// again.
+struct Departure {
+  bool requested = false;
+  DepartureResult result = DepartureResult::kPending;
+  std::uint64_t incarnation = 0;  ///< With which it voted at the request.
+  TimePoint resign_by;            ///< When a leader resigns at the latest.
+  TimePoint reply_by;             ///< `kNoLeader` if no reply arrives by then.
+  TimePoint limit;                ///< `kTimeLimit` from then on.
+  TimePoint next_request_at;
+};
+
 struct Replica {
   ReplicaConfig config;
 
@@ -127,11 +150,21 @@
   std::map<std::uint32_t, TimePoint> voter_heard_at;
   std::map<std::uint32_t, Standby> standbys;  ///< Leader only.
   MembershipCounters membership;
+  /// Committed entries that each voter reported in this leadership, as the
+  /// sequence number of the last one. Leader only.
+  std::map<std::uint32_t, std::uint64_t> reported_seq;
+  /// Incarnations of the instances that said that they leave and were not heard
+  /// of as staying since then.
+  std::map<std::uint32_t, std::uint64_t> leaving;
+  Departure departure;
   /// Number of the entry that this leader took over uncommitted, or else of its
   /// last committed one when it was elected. An earlier leader may have
   /// committed the entries up to it.
   std::uint64_t inherited_seq = 0;
   TimePoint elected_at;
+  /// Since when this replica has led, through the elections that follow changes
+  /// to the voters. Empty if it does not lead.
+  std::optional<TimePoint> leading_since;
   /// Until then this replica votes for no instance but `lease_holder`.
   TimePoint lease_granted_until;
   /// The leader that this replica followed last, possibly before a restart.
@@ -168,8 +201,13 @@
   wire::Change change;
   TimePoint submitted_at = TimePoint::max();  ///< See `PendingChange`.
 };
+/// The process is about to end: a leader resigns, and a standby takes over the
+/// vote within `limit`, if there is one. See `HasDeparted`.
+struct ControlLeave {
+  Milliseconds limit{0};
+};
 using ControlEvent = std::variant<ControlStarted, ControlTick, ControlReceived,
-                                  ControlSubmitted>;
+                                  ControlSubmitted, ControlLeave>;
 
 struct ControlSend {
   std::uint32_t to = 0;
@@ -216,6 +254,14 @@
 
 bool IsVoter(const Replica& replica);
 
+/// Whether the process may end after `ControlLeave`: waiting any longer does
+/// not make a standby take over the vote.
+bool HasDeparted(const Replica& replica);
+
+/// Returns how many voters have said that they leave, and were not heard of as
+/// staying since then.
+std::size_t CountLeavingVoters(const Replica& replica);
+
 /// Whether a standby is able to vote: it has caught up, and is not known to
 /// have fallen behind since.
 bool IsUpToDate(const Standby& standby, TimePoint now);
--- a/Source/Control/ReplicaContext.h
+++ b/Source/Control/ReplicaContext.h
@@ -112,8 +112,24 @@
 /// one is due, unless a proposal is in progress or the lease has expired. To be
 /// called at the end of each proposal, before the next one. Leader only.
 void UpdateMembership(ReplicaContext& context);
+/// Returns whether this leader, if it leaves, keeps its vote: its successor
+/// could neither replace nor have to remove it.
+bool KeepsVoteOnLeaving(const ReplicaContext& context);
+/// Handles the announcement of an instance that leaves.
+void HandleLeave(ReplicaContext& context, std::uint32_t from,
+                 const wire::Leave& leave);
 /// `incarnation` is that of the sender.
 void HandleStandbyAck(ReplicaContext& context, std::uint32_t from,
                       std::uint64_t incarnation, const wire::HeartbeatAck& ack);
 
+/// Starts the departure of this replica.
+void StartDeparture(ReplicaContext& context, const ControlLeave& event);
+/// Resigns, asks the leader to be replaced, or ends the departure, as due.
+void ContinueDeparture(ReplicaContext& context);
+void HandleLeaveReply(ReplicaContext& context, const wire::LeaveReply& reply);
+/// Ends the lease of a leader that has resigned and schedules an election.
+void HandleResignation(ReplicaContext& context, std::uint32_t from);
+/// Returns whether the instance leaves that votes with this incarnation.
+bool IsLeaving(const Replica& replica, const wire::Member& member);
+
 }  // namespace filbertwall
--- a/Source/Control/ReplicaElection.cc
+++ b/Source/Control/ReplicaElection.cc
@@ -31,8 +31,10 @@
   replica.role = ReplicaRole::kLeader;
   replica.leader = replica.config.self;
   replica.elected_at = context.now;
+  replica.leading_since = replica.leading_since.value_or(context.now);
   replica.last_acked_send.clear();
   replica.features.clear();
+  replica.reported_seq.clear();
   for (const wire::Member& member : replica.committed.members()) {
     // The silence of a voter is measured from the start of leadership at the
     // earliest, since a new leader has not received messages of all voters yet.
--- a/Source/Control/ReplicaMembers.cc
+++ b/Source/Control/ReplicaMembers.cc
@@ -12,6 +12,9 @@
 /// After this time without a heartbeat of the leader, join requests are sent to
 /// all configured control instances and voters.
 constexpr Milliseconds kLeaderTimeout{500};
+/// A standby sends a join request to a new leader within this time: it waits
+/// for the previous one for `kLeaderTimeout` and then for its next request.
+constexpr Milliseconds kDiscoveryTime{1000};
 /// A standby whose round of catching up takes longer may be unable to receive
 /// the state, so it does not become a voter.
 constexpr Milliseconds kMaxRoundTime{3000};
@@ -28,7 +31,8 @@
                     .silence = known ? std::chrono::duration_cast<Milliseconds>(
                                            context.now - heard->second)
                                      : Milliseconds(0),
-                    .is_leader = member.instance() == replica.config.self});
+                    .is_leader = member.instance() == replica.config.self,
+                    .is_leaving = IsLeaving(replica, member)});
   }
   for (const auto& [instance, standby] : replica.standbys) {
     if (IsUpToDate(standby, context.now)) {
@@ -86,6 +90,48 @@
              : std::optional(BuildAdmission(membership.standbys.front(), 0));
 }
 
+/// Returns whether no standby can take over a vote: there is none, and this
+/// leader has led for long enough to know of each.
+bool HasNoStandby(const ReplicaContext& context) {
+  const Replica& replica = context.replica;
+  return replica.standbys.empty() && replica.leading_since &&
+         context.now - *replica.leading_since >= kDiscoveryTime;
+}
+
+/// Returns whether a majority of the voters has reported the state that this
+/// leadership began with, which includes every earlier change to the voters.
+bool HasMajorityStoredVoters(const Replica& replica) {
+  std::set<std::uint32_t> stored = {replica.config.self};
+  for (const auto& [instance, seq] : replica.reported_seq) {
+    if (seq >= replica.inherited_seq) {
+      stored.insert(instance);
+    }
+  }
+  return IsMajority(replica.committed, stored);
+}
+
+/// Returns whether an uncommitted change to the voters is being proposed.
+bool IsChangingVoters(const Replica& replica) {
+  return replica.proposing && replica.uncommitted->change().has_member();
+}
+
+/// Returns what a leaving instance with this incarnation is told.
+wire::LeaveStatus DecideLeave(const ReplicaContext& context, std::uint32_t from,
+                              std::uint64_t incarnation) {
+  const Replica& replica = context.replica;
+  if (IsChangingVoters(replica)) {
+    return wire::LEAVE_PENDING;
+  }
+  if (!IsVoter(replica.committed, from, incarnation)) {
+    const bool stored = HasNewestState(replica, context.now) &&
+                        HasMajorityStoredVoters(replica);
+    return stored ? wire::LEAVE_DONE : wire::LEAVE_PENDING;
+  }
+  // A standby that is not up to date may be so in time.
+  const bool keeps_vote = HasNoStandby(context) && !NextVoterChange(context);
+  return keeps_vote ? wire::LEAVE_NO_STANDBY : wire::LEAVE_PENDING;
+}
+
 }  // namespace
 
 bool IsUpToDate(const Standby& standby, TimePoint now) {
@@ -158,6 +204,41 @@
   UpdateMembership(context);
 }
 
+bool KeepsVoteOnLeaving(const ReplicaContext& context) {
+  MembershipStatus membership = BuildMembershipStatus(context);
+  for (VoterStatus& voter : membership.voters) {
+    if (voter.is_leader) {
+      voter.is_leader = false;
+      voter.is_leaving = true;
+    }
+  }
+  return HasNoStandby(context) && !PlanVoterChange(membership);
+}
+
+void HandleLeave(ReplicaContext& context, std::uint32_t from,
+                 const wire::Leave& leave) {
+  Replica& replica = context.replica;
+  std::erase_if(replica.leaving, [&](const auto& item) {
+    return !IsVoter(replica.committed, item.first, item.second);
+  });
+  if (IsVoter(replica.committed, from, leave.incarnation())) {
+    replica.leaving[from] = leave.incarnation();
+  }
+  replica.standbys.erase(from);
+  if (replica.role != ReplicaRole::kLeader) {
+    return;
+  }
+  UpdateMembership(context);
+  if (!HasLease(replica, context.now)) {
+    return;
+  }
+  wire::ControlMessage message;
+  wire::LeaveReply& reply = *message.mutable_leave_reply();
+  reply.set_incarnation(leave.incarnation());
+  reply.set_status(DecideLeave(context, from, leave.incarnation()));
+  Send(context, from, std::move(message));
+}
+
 void HandleJoin(ReplicaContext& context, const JoinRequest& request) {
   Replica& replica = context.replica;
   if (replica.role == ReplicaRole::kFollower || request.incarnation == 0) {
--- a/Source/Control/ReplicaProposal.cc
+++ b/Source/Control/ReplicaProposal.cc
@@ -268,11 +268,16 @@
     replica.confirmed_ack_sent_at =
         std::max(replica.confirmed_ack_sent_at, *sent);
   }
+  if (heartbeat.resigned()) {
+    HandleResignation(context, from);
+    return;
+  }
   *ack.mutable_ballot() = heartbeat.ballot();
   ack.set_committed_seq(replica.committed.seq());
   ack.set_echoed_us(heartbeat.sent_us());
   ack.set_sent_us(ClockMicroseconds(context));
   ack.set_features(kOwnFeatures);
+  ack.set_leaving(replica.departure.requested);
   Send(context, from, std::move(message));
 }
 
@@ -289,6 +294,7 @@
     latest = std::max(latest, *sent);
   }
   RecordAck(context, from, ack);
+  replica.reported_seq[from] = ack.committed_seq();
   if (ack.committed_seq() < replica.committed.seq()) {
     SendInstall(context, from);
   }
--- a/Source/Control/VoterChange.cc
+++ b/Source/Control/VoterChange.cc
@@ -33,6 +33,29 @@
   return longest;
 }
 
+bool IsLeaving(const VoterStatus& voter) {
+  return voter.is_leaving && !voter.is_leader;
+}
+
+/// Returns a voter that is leaving, if any.
+const VoterStatus* FindLeaving(const MembershipStatus& membership) {
+  const auto found = std::find_if(membership.voters.begin(),
+                                  membership.voters.end(), IsLeaving);
+  return found == membership.voters.end() ? nullptr : &*found;
+}
+
+/// Returns whether the voters that stay are still a majority after a loss of
+/// `min_voters / 2` of them.
+bool ToleratesLosses(const MembershipStatus& membership) {
+  const auto staying = static_cast<std::size_t>(std::count_if(
+      membership.voters.begin(), membership.voters.end(),
+      [](const VoterStatus& voter) {
+        return !IsLeaving(voter) && !IsSilent(voter, kReplaceAfter);
+      }));
+  const std::size_t tolerated = membership.min_voters / 2;
+  return 2 * staying > membership.voters.size() + 2 * tolerated;
+}
+
 /// Returns the last voter that is not the leader, or null if the leader is the
 /// only voter.
 const VoterStatus* FindLastNonLeader(const MembershipStatus& membership) {
@@ -104,10 +127,18 @@
             FindLongestSilent(membership, kReplaceAfter)) {
       return BuildAdmission(standby, silent->instance);
     }
+    if (const VoterStatus* leaving = FindLeaving(membership)) {
+      return BuildAdmission(standby, leaving->instance);
+    }
     if (count < target) {
       return BuildAdmission(standby, 0);
     }
   }
+  if (const VoterStatus* leaving = FindLeaving(membership);
+      leaving != nullptr && count > membership.min_voters &&
+      !ToleratesLosses(membership)) {
+    return BuildRemoval(*leaving);
+  }
   if (count <= target) {
     return std::nullopt;
   }
--- a/Source/Control/VoterChange.h
+++ b/Source/Control/VoterChange.h
@@ -12,7 +12,9 @@
 /// An odd number of the responsive instances are voters. The others are
 /// standbys, which receive the state and do not vote. A standby replaces a
 /// silent voter in one change, which restores the fault tolerance that the loss
-/// of the voter reduced. The function is pure and thread safe.
+/// of the voter reduced. A voter whose process is stopped gives its place to a
+/// standby before it ends; see `ReplicaDeparture.cc`. The functions are pure
+/// and thread safe.
 namespace filbertwall {
 
 /// The leader's view of a voter.
@@ -20,6 +22,7 @@
   std::uint32_t instance = 0;
   Milliseconds silence{0};  ///< Time since its last message.
   bool is_leader = false;
+  bool is_leaving = false;  ///< Its process is about to end, or has ended.
 };
 
 /// A standby that has caught up, so that it may vote.
--- a/Source/Fleet/ControlContext.h
+++ b/Source/Fleet/ControlContext.h
@@ -60,6 +60,8 @@
 /// Logs the standbys of this leader that were added or removed, caught up or
 /// fell behind since the last call.
 void LogStandbys(ControlContext& context);
+/// Logs how the departure of this instance ended.
+void LogDeparture(ControlContext& context);
 
 /// Returns the leader to which a call can be redirected: another instance from
 /// which a heartbeat arrived recently. Returns 0 when there is none.
--- a/Source/Fleet/ControlInstance.cc
+++ b/Source/Fleet/ControlInstance.cc
@@ -187,9 +187,9 @@
   void operator()(const EvacuationOrdered& event) {
     HandleEvacuationOrder(this->context, event);
   }
-  void operator()(const ControlStopRequested&) {
-    this->context.instance.stopping = true;
+  void operator()(const ControlStopRequested& event) {
     Log(this->context, EventId::kStopping, "control instance");
+    RunReplica(this->context, ControlLeave{.limit = event.limit});
   }
   void operator()(const ControlDiskFailed&) {
     ControlInstance& instance = this->context.instance;
@@ -208,7 +208,8 @@
   void operator()(const ControlDiskRestored& event) {
     ControlInstance& instance = this->context.instance;
     const ReplicaConfig config = instance.replica.config;
-    instance.replica = Replica{.config = config};
+    const Departure departure = instance.replica.departure;
+    instance.replica = Replica{.config = config, .departure = departure};
     for (const wire::DurableRecord& record : event.log) {
       Restore(instance.replica, record);
     }
@@ -248,12 +249,16 @@
   }
   const ReplicaRole before = instance.replica.role;
   const std::uint64_t seq_before = instance.replica.committed.seq();
+  const bool departed_before = HasDeparted(instance.replica);
   for (const ControlEffect& effect :
        Reduce(instance.replica, event, context.now)) {
     std::visit(ReplicaVisitor{.context = context}, effect);
   }
   LogLeadership(context, before);
   LogStandbys(context);
+  if (HasDeparted(instance.replica) && !departed_before) {
+    LogDeparture(context);
+  }
   CatchUp(context);
   if (instance.replica.committed.seq() != seq_before) {
     LogVoters(context);
@@ -305,6 +310,10 @@
   return effects;
 }
 
+bool MayEnd(const ControlInstance& instance) {
+  return instance.disk_failed || HasDeparted(instance.replica);
+}
+
 TimePoint NextDue(const ControlInstance& instance) {
   TimePoint due = std::min(
       {instance.next_subscribe_at, instance.next_push_at,
--- a/Source/Fleet/ControlInstance.h
+++ b/Source/Fleet/ControlInstance.h
@@ -174,9 +174,8 @@
   /// disk, received from a control instance with a complete one, or each server
   /// has had time to report.
   bool settled = false;
-  bool in_sync = false;     ///< `IsInSync` at the last tick.
-  TimePoint in_sync_until;  ///< Last tick with `in_sync`, or the start.
-  bool stopping = false;
+  bool in_sync = false;             ///< `IsInSync` at the last tick.
+  TimePoint in_sync_until;          ///< Last tick with `in_sync`, or the start.
   bool disk_failed = false;         ///< The replica is not run while set.
   std::uint64_t disk_restores = 0;  ///< `ControlDiskRestored` events so far.
   ControlCounters counters;
@@ -208,7 +207,11 @@
   CallId call = 0;
   wire::EvacuationChange change;  ///< Its data centre is a valid name.
 };
-struct ControlStopRequested {};
+/// The process is about to end. A standby takes over the vote of this instance
+/// within `limit`, if there is one; see `MayEnd`.
+struct ControlStopRequested {
+  Milliseconds limit{0};
+};
 /// Writes to the disk fail. Records appended after the last sync may be missing
 /// from the log or incomplete.
 struct ControlDiskFailed {};
@@ -270,6 +273,10 @@
                                           const ControlInstanceEvent& event,
                                           TimePoint now);
 
+/// Whether the process may end after `ControlStopRequested`. Becomes true
+/// within the limit of the request if `NextDue` is followed.
+bool MayEnd(const ControlInstance& instance);
+
 /// Returns when `ControlInstanceTick` is to be applied next.
 TimePoint NextDue(const ControlInstance& instance);
 
--- a/Source/Fleet/Metrics.cc
+++ b/Source/Fleet/Metrics.cc
@@ -91,6 +91,9 @@
                           TimePoint now) {
   AddGauge(samples, "voters", "Voting control instances.",
            replica.committed.members_size());
+  AddGauge(samples, "voters_leaving",
+           "Voting control instances that are stopped, by their own word.",
+           static_cast<double>(CountLeavingVoters(replica)));
   const auto up_to_date = std::count_if(
       replica.standbys.begin(), replica.standbys.end(),
       [now](const auto& item) { return IsUpToDate(item.second, now); });
--- a/Source/Fleet/ReplicaLog.cc
+++ b/Source/Fleet/ReplicaLog.cc
@@ -1,7 +1,8 @@
 #include "Base/Endpoint.h"
 #include "Fleet/ControlContext.h"
 
-/// Log records of what changes in the replica: its role and the voters.
+/// Log records of what changes in the replica: its role, the voters, and the
+/// end of its departure.
 namespace filbertwall {
 namespace {
 
@@ -49,6 +50,24 @@
   return current;
 }
 
+std::string FormatResult(DepartureResult result) {
+  switch (result) {
+    case DepartureResult::kPending:
+      return "pending";
+    case DepartureResult::kNoVote:
+      return "no_vote";
+    case DepartureResult::kNoStandby:
+      return "no_standby";
+    case DepartureResult::kAlone:
+      return "alone";
+    case DepartureResult::kNoLeader:
+      return "no_leader";
+    case DepartureResult::kTimeLimit:
+      return "time_limit";
+  }
+  return "";
+}
+
 }  // namespace
 
 void LogLeadership(ControlContext& context, ReplicaRole before) {
@@ -81,6 +100,18 @@
   context.instance.logged_voters = std::move(voters);
 }
 
+void LogDeparture(ControlContext& context) {
+  const Replica& replica = context.instance.replica;
+  const bool late = replica.departure.result == DepartureResult::kNoLeader ||
+                    replica.departure.result == DepartureResult::kTimeLimit;
+  Log(context, EventId::kDeparture,
+      "result=" + FormatResult(replica.departure.result) +
+          " voter=" + std::to_string(IsVoter(replica)) +
+          " voters=" + FormatVoters(replica.committed) +
+          " seq=" + std::to_string(replica.committed.seq()),
+      late ? Severity::kWarning : Severity::kInfo);
+}
+
 void LogStandbys(ControlContext& context) {
   std::map<std::uint32_t, LoggedStandby>& logged =
       context.instance.logged_standbys;
--- a/Source/Shell/ControlRuntime.cc
+++ b/Source/Shell/ControlRuntime.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <deque>
 #include <filesystem>
 #include <map>
@@ -31,7 +32,12 @@
 constexpr Milliseconds kStopDelay{300};
 /// Longest time for which a stop waits for answers that are being sent.
 constexpr Milliseconds kMaxSendDelay{2000};
-constexpr Milliseconds kSendCheckInterval{20};
+constexpr Milliseconds kEndCheckInterval{20};
+/// Longest time for which a stop waits for a standby to take over the vote: as
+/// long as a standby usually takes to catch up.
+constexpr Milliseconds kMaxLeaveTime{4000};
+/// Time of `drain_limit` that is left for the end of the process.
+constexpr Milliseconds kEndReserve{1500};
 constexpr char kRegistryName[] = "/servers.saved";
 
 std::uint64_t RandomNumber() {
@@ -101,6 +107,10 @@
   void Handle(const ControlInstanceEvent& event);
   void HandleCall(std::uint64_t id, const HttpRequest& request);
   void HandleTimer();
+  void StartStop();
+  /// Returns whether the process has to go on for answers that are being sent,
+  /// or until a standby has taken over its vote.
+  bool MayNotEndYet(TimePoint now) const;
   void HandleDelayedCalls();
   void HandleDiskFailure(const StoreFailure& failure);
   void ReloadSettings();
@@ -123,7 +133,8 @@
   TimePoint next_settings_check_at;
   TimePoint next_disk_retry_at = TimePoint::max();
   TimePoint stop_at = TimePoint::max();
-  TimePoint stop_limit = TimePoint::max();
+  TimePoint send_limit = TimePoint::max();
+  TimePoint leave_limit = TimePoint::max();
   bool disk_failed = false;
   std::string disk_failure;  ///< As last logged; empty while the disk works.
   bool registry_not_saved = false;
@@ -186,10 +197,7 @@
   this->loop.on_timer.connect([this] { this->HandleTimer(); });
   this->loop.on_stop.connect([this] {
     this->http.StartClosing();
-    this->Handle(ControlStopRequested{});
-    this->stop_at = FleetNow() + kStopDelay;
-    this->stop_limit = this->stop_at + kMaxSendDelay;
-    this->RearmTimer();
+    this->StartStop();
   });
   this->loop.on_reload.connect([this] { this->ReloadSettings(); });
 }
@@ -245,11 +253,25 @@
   this->RearmTimer();
 }
 
+void ControlRuntime::StartStop() {
+  const TimePoint now = FleetNow();
+  const Milliseconds leave_time = std::clamp(
+      this->settings.drain_limit - kEndReserve, Milliseconds(0), kMaxLeaveTime);
+  this->stop_at = now + kStopDelay;
+  this->send_limit = this->stop_at + kMaxSendDelay;
+  this->leave_limit = now + leave_time;
+  this->Handle(ControlStopRequested{.limit = leave_time});
+}
+
+bool ControlRuntime::MayNotEndYet(TimePoint now) const {
+  const bool sending = now < this->send_limit && this->http.IsSending();
+  return sending || (now < this->leave_limit && !MayEnd(this->instance));
+}
+
 void ControlRuntime::HandleTimer() {
   const TimePoint now = FleetNow();
-  if (now >= this->stop_at && now < this->stop_limit &&
-      this->http.IsSending()) {
-    this->stop_at = now + kSendCheckInterval;
+  if (now >= this->stop_at && this->MayNotEndYet(now)) {
+    this->stop_at = now + kEndCheckInterval;
   }
   if (now >= this->stop_at) {
     WriteLog({.id = EventId::kStopped, .text = "control instance"});
--- a/Tests/Control/LeaseTest.cc
+++ b/Tests/Control/LeaseTest.cc
@@ -27,6 +27,8 @@
   std::map<std::uint64_t, TimePoint> accepted_at;
   /// Planted fault: a restarted replica assumes that it granted no lease.
   bool ignores_earlier_leases = false;
+  /// Instances are also told to leave, and are restarted some time later.
+  bool with_departures = false;
 };
 
 TimePoint ClockOf(const LeaseHistory& history, std::uint32_t id) {
@@ -144,10 +146,19 @@
   Restart(history, id);
 }
 
+void LeaveByClock(LeaseHistory& history, std::uint32_t id) {
+  if (IsRunning(history, id)) {
+    ApplyByClock(history, id, ControlLeave{.limit = Milliseconds(4000)});
+  }
+}
+
 /// Executes one random step: mostly messages and time, else a pause, a stop, a
 /// restart, a lost disk or a network partition.
 void StepLeases(LeaseHistory& history, int& disks_to_lose) {
   ReplicaGroup& group = history.group;
+  if (history.with_departures && RandomBelow(group, 50) == 0) {
+    LeaveByClock(history, RandomInstance(group));
+  }
   const std::uint64_t choice = RandomBelow(group, 1000);
   const std::uint32_t id = RandomInstance(group);
   if (choice < 760 && !group.network.empty()) {
@@ -182,6 +193,11 @@
   ReplicaGroup& group = history.group;
   group.partitioned.clear();
   history.paused.clear();
+  for (const auto& [id, replica] : group.replicas) {
+    if (replica.departure.requested) {
+      group.stopped_instances.insert(id);
+    }
+  }
   for (const std::uint32_t id : std::set(group.stopped_instances)) {
     Restart(history, id);
   }
@@ -213,9 +229,11 @@
 }
 
 /// Runs one random history. Returns the violation or an empty string.
-std::string RunLeaseHistory(std::uint64_t seed, bool ignores_earlier_leases) {
+std::string RunLeaseHistory(std::uint64_t seed, bool ignores_earlier_leases,
+                            bool with_departures = false) {
   LeaseHistory history = MakeHistory(seed);
   history.ignores_earlier_leases = ignores_earlier_leases;
+  history.with_departures = with_departures;
   constexpr int kRounds = 4;
   constexpr int kSteps = 400;
   for (int round = 0; round < kRounds; ++round) {
@@ -312,6 +330,14 @@
   }
 }
 
+/// Guards against the same after leaders that have resigned, whose leases end
+/// before their time.
+TEST(Lease, RandomHistoriesWithDeparturesHaveOneHolderAtATime) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    STRCMP_EQUAL("", RunLeaseHistory(seed, false, true).c_str());
+  }
+}
+
 TEST(Lease, CheckDetectsLeasesForgottenInARestart) {
   std::uint64_t seed = 1;
   while (seed <= kSeeds && RunLeaseHistory(seed, true).empty()) {
--- a/Tests/Control/ReplicaGroup.h
+++ b/Tests/Control/ReplicaGroup.h
@@ -47,6 +47,7 @@
   std::uint64_t next_incarnation = 100;
   std::uint64_t starts = 0;      ///< Starts of all instances so far.
   bool open_membership = false;  ///< Set by `MakeFleet`.
+  std::uint32_t min_voters = 3;  ///< As in `ReplicaConfig`.
   std::set<std::uint32_t> founders;
   std::set<std::uint32_t> replaced;  ///< Removed permanently.
 };
@@ -118,6 +119,7 @@
   }
   if (group.open_membership) {
     replica.config.open_membership = true;
+    replica.config.min_voters = group.min_voters;
     replica.config.lease = Milliseconds(600);
     replica.config.election_jitter = Milliseconds(250);
   }
@@ -172,8 +174,11 @@
 /// `founders` have the founding record on their disks; the others have empty
 /// disks.
 inline ReplicaGroup MakeFleet(std::uint64_t seed, std::uint32_t founders,
-                              std::uint32_t size) {
-  ReplicaGroup group{.random = std::mt19937_64(seed), .open_membership = true};
+                              std::uint32_t size,
+                              std::uint32_t min_voters = 3) {
+  ReplicaGroup group{.random = std::mt19937_64(seed),
+                     .open_membership = true,
+                     .min_voters = min_voters};
   for (std::uint32_t id = 1; id <= founders; ++id) {
     group.founders.insert(id);
   }
@@ -188,18 +193,28 @@
   return group;
 }
 
-/// Removes `id` permanently and starts an instance with an empty disk under the
-/// next id. Returns the new id.
-inline std::uint32_t ReplaceInstance(ReplicaGroup& group, std::uint32_t id) {
-  group.replicas.erase(id);
-  group.stopped_instances.erase(id);
-  group.replaced.insert(id);
+/// Starts an instance with an empty disk under the next id. Returns the id.
+inline std::uint32_t AddInstance(ReplicaGroup& group) {
   const std::uint32_t new_id = group.disks.rbegin()->first + 1;
   group.disks[new_id] = {EmptyDiskRecord(group)};
   StartInstance(group, new_id);
   return new_id;
 }
 
+/// Removes an instance permanently.
+inline void RemoveInstance(ReplicaGroup& group, std::uint32_t id) {
+  group.replicas.erase(id);
+  group.stopped_instances.erase(id);
+  group.replaced.insert(id);
+}
+
+/// Removes `id` permanently and starts an instance with an empty disk under the
+/// next id. Returns the new id.
+inline std::uint32_t ReplaceInstance(ReplicaGroup& group, std::uint32_t id) {
+  RemoveInstance(group, id);
+  return AddInstance(group);
+}
+
 inline void Deliver(ReplicaGroup& group, std::size_t index) {
   const Packet packet = group.network[index];
   group.network.erase(group.network.begin() +
@@ -382,4 +397,21 @@
   return 0;
 }
 
+/// Submits a change to the current leader until one is accepted. Returns false
+/// if none is accepted within `limit`.
+inline bool AcceptsChange(ReplicaGroup& group, Milliseconds limit) {
+  const std::uint64_t version = HighestVersion(group) + 1;
+  constexpr Milliseconds kRetryInterval{200};
+  for (Milliseconds waited{0}; waited < limit; waited += kRetryInterval) {
+    if (const std::uint32_t leader = FindLeader(group); leader != 0) {
+      Submit(group, leader, version, "v" + std::to_string(version));
+    }
+    RunFor(group, kRetryInterval);
+    if (group.accepted.contains(version)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace filbertwall
--- a/Tests/Control/VoterChangeTest.cc
+++ b/Tests/Control/VoterChangeTest.cc
@@ -63,6 +63,58 @@
   LONGS_EQUAL(2, change->replaced());
 }
 
+/// Guards against a voter that is stopped and is replaced only after seconds of
+/// silence.
+TEST(VoterChange, LeavingVoterIsReplacedAtOnce) {
+  MembershipStatus membership = MakeVoters(3);
+  membership.voters[1].is_leaving = true;
+  AddStandby(membership, 4);
+  const auto change = PlanVoterChange(membership);
+  CHECK(change.has_value());
+  LONGS_EQUAL(4, change->instance());
+  LONGS_EQUAL(2, change->replaced());
+}
+
+TEST(VoterChange, SilentVoterIsReplacedBeforeALeavingOne) {
+  MembershipStatus membership = MakeVoters(3);
+  membership.voters[1].is_leaving = true;
+  membership.voters[2].silence = kSilent;
+  AddStandby(membership, 4);
+  const auto change = PlanVoterChange(membership);
+  CHECK(change.has_value());
+  LONGS_EQUAL(3, change->replaced());
+}
+
+/// Guards against a restart that changes the voters for nothing.
+TEST(VoterChange, LeavingVoterStaysWhileTheOthersTolerateALoss) {
+  MembershipStatus membership = MakeVoters(5);
+  membership.voters[1].is_leaving = true;
+  CHECK_FALSE(PlanVoterChange(membership).has_value());
+}
+
+/// Guards against voters that are stopped in turn until a loss leaves no
+/// majority.
+TEST(VoterChange, LeavingVotersAreRemovedBeforeALossLeavesNoMajority) {
+  MembershipStatus membership = MakeVoters(5);
+  membership.voters[1].is_leaving = true;
+  membership.voters[2].is_leaving = true;
+  const auto first = PlanVoterChange(membership);
+  CHECK(first.has_value());
+  LONGS_EQUAL(2, first->instance());
+  LONGS_EQUAL(0, first->incarnation());
+  membership.voters.erase(membership.voters.begin() + 1);
+  const auto second = PlanVoterChange(membership);
+  CHECK(second.has_value());
+  LONGS_EQUAL(3, second->instance());
+  LONGS_EQUAL(0, second->incarnation());
+}
+
+TEST(VoterChange, LeavingVoterStaysWhenTooFewWouldRemain) {
+  MembershipStatus membership = MakeVoters(3);
+  membership.voters[1].is_leaving = true;
+  CHECK_FALSE(PlanVoterChange(membership).has_value());
+}
+
 TEST(VoterChange, RestartingVoterIsNotReplaced) {
   MembershipStatus membership = MakeVoters(3);
   membership.voters[1].silence = Milliseconds(2000);
--- a/Tests/Control/VoterLossTest.cc
+++ b/Tests/Control/VoterLossTest.cc
@@ -39,19 +39,6 @@
   return "";
 }
 
-/// Starts an instance with an empty disk under the next id. Returns the id.
-std::uint32_t AddInstance(ReplicaGroup& group) {
-  const std::uint32_t new_id = group.disks.rbegin()->first + 1;
-  group.disks[new_id] = {EmptyDiskRecord(group)};
-  StartInstance(group, new_id);
-  return new_id;
-}
-
-void RemoveInstance(ReplicaGroup& group, std::uint32_t id) {
-  group.replicas.erase(id);
-  group.replaced.insert(id);
-}
-
 /// Returns the running instance at position `index`, modulo their number.
 std::uint32_t InstanceAtIndex(const ReplicaGroup& group, std::size_t index) {
   auto item = group.replicas.begin();
@@ -83,24 +70,6 @@
   }
 }
 
-/// Submits a change to the current leader until one is accepted. Returns false
-/// if none is accepted within `kRecoveryLimit`.
-bool AcceptsChange(ReplicaGroup& group) {
-  const std::uint64_t version = HighestVersion(group) + 1;
-  constexpr Milliseconds kRetryInterval{200};
-  for (Milliseconds waited{0}; waited < kRecoveryLimit;
-       waited += kRetryInterval) {
-    if (const std::uint32_t leader = FindLeader(group); leader != 0) {
-      Submit(group, leader, version, "v" + std::to_string(version));
-    }
-    RunFor(group, kRetryInterval);
-    if (group.accepted.contains(version)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 /// Runs one series of losses. Returns the violation or an empty string.
 std::string RunSeries(std::uint32_t size, const std::vector<Loss>& losses,
                       const std::vector<std::size_t>& indexes) {
@@ -111,7 +80,7 @@
     const std::uint32_t id = InstanceAtIndex(group, indexes[i]);
     series += ", " + LossName(losses[i]) + " at " + std::to_string(id);
     InjectLoss(group, losses[i], id);
-    if (!AcceptsChange(group)) {
+    if (!AcceptsChange(group, kRecoveryLimit)) {
       return series + ": no change is accepted";
     }
     RunFor(group, kLossInterval);
