Tests: A leader that is lost while a vote is handed over

For each of the three voters that leaves, and after each of the first 60 packets of the departure, the leader (or the successor, if the leader leaves) loses its disk, or restarts and loses it once the voter is gone: 366 histories. All end in time and accept changes afterwards; no fault was found, so the test is a guard.

--- a/Tests/Control/DepartureTest.cc
+++ b/Tests/Control/DepartureTest.cc
@@ -72,6 +72,17 @@
   RemoveInstance(group, id);
 }
 
+/// Delivers this number of packets one by one, in order, and advances the clock
+/// whenever there are none.
+void DeliverPackets(ReplicaGroup& group, int packets) {
+  for (int delivered = 0; delivered < packets; ++delivered) {
+    while (group.network.empty()) {
+      Tick(group, kStep);
+    }
+    Deliver(group, 0);
+  }
+}
+
 /// Returns what is wrong after the losses of a history, or an empty string.
 std::string CheckAfterLosses(ReplicaGroup& group) {
   if (!AcceptsChange(group, kRecoveryLimit)) {
@@ -380,6 +391,38 @@
   }
 }
 
+/// Guards against a departure that ends too early, or hangs, when the leader
+/// loses its disk or restarts at any moment of it.
+TEST(Departure, LeaderLostWhileAVoteIsHandedOverIsTolerated) {
+  constexpr int kMaxPackets = 60;
+  ReplicaGroup settled = MakeSettledFleet({3, 1});
+  AddInstance(settled);
+  RunFor(settled, kSettleTime);
+  for (const std::uint32_t id : {1U, 2U, 3U}) {
+    for (int packets = 0; packets <= kMaxPackets; ++packets) {
+      for (const bool disk_lost : {true, false}) {
+        ReplicaGroup group = settled;
+        RequestLeave(group, id);
+        DeliverPackets(group, packets);
+        const std::uint32_t leader = FindLeader(group);
+        const std::uint32_t lost = leader == 0 || leader == id ? 4 : leader;
+        if (disk_lost) {
+          LoseDisk(group, lost);
+        } else {
+          StartInstance(group, lost);
+        }
+        RunUntilDeparted(group, id);
+        CHECK(MayEnd(group, id));
+        RemoveInstance(group, id);
+        if (!disk_lost) {
+          LoseDisk(group, lost);
+        }
+        STRCMP_EQUAL("", CheckAfterLosses(group).c_str());
+      }
+    }
+  }
+}
+
 /// Guards against a departure that hangs, or breaks agreement, among instances
 /// of a build that does not know it.
 TEST(Departure, InstancesOfAnEarlierBuildDelayTheEndOnly) {
