Shell: Split the format of the control log from its file

ControlStore.cc had two jobs in 485 lines: the format of records, which is pure, and the file, its lock and its syncs. The format is LogRecords.{h,cc} now (209 lines), the file stays in ControlStore.cc (282). Moved only; the two bounds of a record are public constants. Shell, disks.damaged_stored_state..., control.damaged_log and the fuzz inputs' library build and pass; lint clean.

--- a/Source/Shell/ControlStore.h
+++ b/Source/Shell/ControlStore.h
@@ -1,58 +1,12 @@
 #pragma once
 
-#include <boost/outcome.hpp>
-#include <cstdint>
-#include <functional>
 #include <string>
-#include <vector>
 
-#include "Wire/wire.pb.h"
+#include "Shell/LogRecords.h"
 
-/// Stores the control log on disk as a sequence of records, each with a header
-/// that holds its length and checksum.
+/// Stores the control log on disk.
 namespace filbertwall {
 
-enum class StoreError {
-  kOpenFailed,
-  kReadFailed,
-  kCorrupt,
-  kTooLarge,  ///< A record is longer than any that is written.
-  kWriteFailed,
-  kSyncFailed,
-  kLocked,
-};
-
-struct StoreFailure {
-  StoreError error = StoreError::kOpenFailed;
-  std::string detail;
-};
-
-template <typename Value>
-using StoreResult =
-    boost::outcome_v2::basic_result<Value, StoreFailure,
-                                    boost::outcome_v2::policy::all_narrow>;
-
-/// The decoded contents of a log file.
-struct LogContents {
-  /// Empty if the records were passed to a `RecordVisitor`.
-  std::vector<wire::DurableRecord> records;
-  std::size_t valid_bytes = 0;
-  bool tail_truncated = false;  ///< An incomplete last record was dropped.
-};
-
-/// Is passed the records of a log in the order in which they were written.
-using RecordVisitor = std::function<void(wire::DurableRecord&&)>;
-
-/// Decodes a log. Drops a last record of which a loss of power has left a part:
-/// it is cut short, or it is zero to its end or in whole sectors. Such a record
-/// was never synced, as no later one was begun. Returns kCorrupt with the byte
-/// offset for any other fault, and for every damaged record that a later one
-/// follows. Has no side effects.
-StoreResult<LogContents> DecodeLog(const std::string& bytes);
-
-/// Returns the record with its header, as it is written to the log.
-std::string EncodeRecord(const wire::DurableRecord& record);
-
 /// Owns the log file of one data folder. After a failed write or sync, `Append`
 /// and `Replace` return an error, because it is unknown which data reached the
 /// disk. Not thread safe.
