Tests: A departure waits for a majority of the new voters

A trial on a scratch copy that answered `Leave` with "done" as soon as the sender no longer votes passed all tests of departures. This one fails then (MayEnd too early) and passes with the check: packets with the change reach only the leader and the leaving voter for a second.

--- a/Tests/Control/DepartureTest.cc
+++ b/Tests/Control/DepartureTest.cc
@@ -391,6 +391,37 @@
   }
 }
 
+/// Guards against a departure that ends while the change to the voters is
+/// stored by the leader and the leaving voter only.
+TEST(Departure, WaitsUntilAMajorityOfTheNewVotersHasStoredTheChange) {
+  ReplicaGroup group = MakeSettledFleet({3, 1});
+  AddInstance(group);
+  RunFor(group, kSettleTime);
+  const std::uint32_t leader = FindLeader(group);
+  const std::uint32_t id = leader == 1 ? 2 : 1;
+  RequestLeave(group, id);
+  for (Milliseconds passed{0}; passed < Milliseconds(1000); passed += kStep) {
+    Tick(group, kStep);
+    while (!group.network.empty()) {
+      const Packet& packet = group.network.front();
+      const bool tells_the_change =
+          packet.message.has_accept() || packet.message.has_install();
+      if (tells_the_change && packet.to != id && packet.to != leader) {
+        group.network.erase(group.network.begin());
+      } else {
+        Deliver(group, 0);
+      }
+    }
+  }
+  CHECK(FindLeader(group) == leader);
+  CHECK_FALSE(MayEnd(group, id));
+  RunUntilDeparted(group, id);
+  CHECK(DepartureResult::kNoVote == group.replicas.at(id).departure.result);
+  RemoveInstance(group, id);
+  LoseDisk(group, leader);
+  STRCMP_EQUAL("", CheckAfterLosses(group).c_str());
+}
+
 /// Guards against a departure that ends too early, or hangs, when the leader
 /// loses its disk or restarts at any moment of it.
 TEST(Departure, LeaderLostWhileAVoteIsHandedOverIsTolerated) {
